--- /dev/null
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/CheckSettingsCommand.java
@@ -0,0 +1,41 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.daemon;
+
+import java.nio.file.Path;
+
+import org.gaugehollow.settings.EntrySettings;
+import org.gaugehollow.settings.SettingsReader;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+
+/** Checks a settings file without starting anything. */
+@Parameters(commandDescription = "check a settings file without starting")
+final class CheckSettingsCommand implements Command
+{
+    @Parameter(description = "FILE", required = true)
+    private String file;
+
+    @Override
+    public String name()
+    {
+        return "check-settings";
+    }
+
+    @Override
+    public String examples()
+    {
+        return "gaugehollow check-settings bole-1.json";
+    }
+
+    @Override
+    public ExitCode run(Console console)
+    {
+        EntrySettings settings = SettingsReader.read(Path.of(file), EntrySettings.class);
+        console.line("good: box " + settings.box() + " of hall " + settings.hall());
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/Replies.java
@@ -0,0 +1,60 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.daemon;
+
+import java.nio.charset.StandardCharsets;
+
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpCaller;
+import org.gaugehollow.net.HttpReply;
+
+/** Asks a box and shows what it answers. */
+final class Replies
+{
+    private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int FIRST_ERROR = 400;
+
+    private Replies()
+    {
+    }
+
+    static HttpReply ask(HttpCaller caller, String method, String path, byte[] body)
+            throws InterruptedException
+    {
+        try
+        {
+            return caller.call(method, path, body, TIMEOUT_MILLIS);
+        }
+        catch (GaugehollowException e)
+        {
+            throw new GaugehollowException(ResultCode.PEER_UNREACHABLE, e.getMessage(), e);
+        }
+    }
+
+    static boolean isError(HttpReply reply)
+    {
+        return reply.status() >= FIRST_ERROR;
+    }
+
+    /** Shows a reply and returns the exit code that goes with it. */
+    static ExitCode show(Console console, HttpReply reply, boolean json)
+    {
+        if (isError(reply))
+        {
+            console.note(new String(reply.body(), StandardCharsets.UTF_8));
+            return ExitCode.REFUSED;
+        }
+        if (json)
+        {
+            console.line(new String(reply.body(), StandardCharsets.UTF_8));
+        }
+        else
+        {
+            console.pretty(reply.body());
+        }
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/WatchCommand.java
@@ -0,0 +1,77 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.net.HttpCaller;
+import org.gaugehollow.net.HttpConnection;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.net.NetLoops;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+
+/** Shows changes as they are accepted, or placements as they happen, one JSON object a line. */
+@Parameters(commandDescription = "show changes of KIND, or placements, as they happen")
+final class WatchCommand implements Command
+{
+    private static final int OK = 200;
+    private static final int CONNECT_MILLIS = 3_000;
+    private static final long SILENCE_SECONDS = 30;
+
+    @Parameter(description = "KIND | placements", required = true)
+    private String what;
+
+    @Parameter(names = "--from", description = "the revision or placement number to start after; now if absent")
+    private Long from;
+
+    @ParametersDelegate
+    private final ServerOptions server = new ServerOptions();
+
+    @Override
+    public String name()
+    {
+        return "watch";
+    }
+
+    @Override
+    public String examples()
+    {
+        return "gaugehollow watch workloads --from 120\ngaugehollow watch placements";
+    }
+
+    @Override
+    public ExitCode run(Console console) throws InterruptedException
+    {
+        String query = from == null ? "watch=true" : "watch=true&from=" + from;
+        HttpMessage request = new HttpMessage("GET", "/v1/" + what, query, new DefaultHttpHeaders(),
+                new byte[0]);
+        try (NetLoops loops = new NetLoops(Optional.empty());
+                HttpCaller caller = server.caller(loops);
+                HttpConnection connection = caller.openOwn(CONNECT_MILLIS))
+        {
+            HttpReply head = connection.openStream(request, nextDeadline());
+            byte[] piece = connection.nextPiece(nextDeadline(), false);
+            while (piece != null)
+            {
+                console.line(new String(piece, StandardCharsets.UTF_8).stripTrailing());
+                piece = connection.nextPiece(nextDeadline(), false);
+            }
+            return head.status() == OK ? ExitCode.OK : ExitCode.REFUSED;
+        }
+    }
+
+    private static long nextDeadline()
+    {
+        return System.nanoTime() + TimeUnit.SECONDS.toNanos(SILENCE_SECONDS);
+    }
+}
--- /dev/null
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/PlatformStandin.java
@@ -0,0 +1,303 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpExchange;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.net.HttpServer;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.platform.StoreBudget;
+import org.gaugehollow.platform.StoreChange;
+import org.gaugehollow.platform.StoredValue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Takes the platform's place in tests and in the local cell: the part of the etcd v3 JSON protocol
+ * that gaugehollow uses, and the list of workers in the form of Prometheus' HTTP service discovery.
+ * It has a budget of calls, and switches for slow, down, and applied-but-the-answer-was-lost.
+ */
+public final class PlatformStandin implements AutoCloseable
+{
+    /** The platform's budget: some hundred writes and about two thousand reads a second. */
+    private static final int WRITES_PER_SECOND = 500;
+    private static final int READS_PER_SECOND = 2_000;
+    private static final int LARGEST_VALUE = 1 << 20;
+    private static final int LARGEST_BODY = 2 << 20;
+    private static final int OK = 200;
+    private static final int WATCH_SLICE_MILLIS = 100;
+    private static final long TICK_MILLIS = 50;
+
+    private final StandinStore store = new StandinStore(System::nanoTime);
+    private final StandinRoster roster;
+    private final AtomicReference<PlatformSwitches> switches = new AtomicReference<>(PlatformSwitches.GOOD);
+    private final AtomicInteger answersToLose = new AtomicInteger();
+    private final StoreBudget writes = new StoreBudget(WRITES_PER_SECOND, WRITES_PER_SECOND,
+            System::nanoTime);
+    private final StoreBudget reads = new StoreBudget(READS_PER_SECOND, READS_PER_SECOND, System::nanoTime);
+    private final Map<String, AtomicInteger> calls = new ConcurrentHashMap<>();
+    private final HttpServer server;
+    private final Thread ticker;
+
+    /**
+     * Starts to listen.
+     *
+     * @param loops
+     *            the event loops
+     * @param address
+     *            where to listen
+     * @param rosterLagMillis
+     *            how much the list lags
+     */
+    public PlatformStandin(NetLoops loops, InetSocketAddress address, long rosterLagMillis)
+    {
+        roster = new StandinRoster(rosterLagMillis, System::nanoTime);
+        EventLog events = new EventLog("platform-standin", new HybridClock(System::currentTimeMillis));
+        server = new HttpServer(loops, address, LARGEST_BODY, events, this::handle);
+        ticker = Thread.ofVirtual().name("platform-ticker").start(this::tick);
+    }
+
+    /** @return the address it listens on */
+    public InetSocketAddress address()
+    {
+        return server.address();
+    }
+
+    /**
+     * @param next
+     *            how it behaves from now on
+     */
+    public void use(PlatformSwitches next)
+    {
+        answersToLose.set(next.loseWriteAnswers());
+        switches.set(next);
+    }
+
+    private void tick()
+    {
+        try
+        {
+            while (true)
+            {
+                Thread.sleep(TICK_MILLIS);
+                store.endLapsedLeases();
+            }
+        }
+        catch (InterruptedException e)
+        {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(HttpExchange exchange) throws InterruptedException
+    {
+        HttpMessage request = exchange.request();
+        if (request.path().startsWith("/standin/"))
+        {
+            control(exchange);
+            return;
+        }
+        PlatformSwitches now = switches.get();
+        if (now.delayMillis() > 0)
+        {
+            Thread.sleep(now.delayMillis());
+        }
+        boolean silent = request.path().startsWith("/v1/workers") ? now.rosterDown() : switches.get().down();
+        if (silent)
+        {
+            exchange.abort();
+            return;
+        }
+        serve(exchange);
+    }
+
+    private void control(HttpExchange exchange) throws InterruptedException
+    {
+        HttpMessage request = exchange.request();
+        switch (request.path())
+        {
+            case "/standin/switches" ->
+                use(Json.read(request.body(), PlatformSwitches.class, ResultCode.BAD_REQUEST));
+            case "/standin/workers" ->
+                roster.put(Json.read(request.body(), RosterLine.class, ResultCode.BAD_REQUEST));
+            case "/standin/calls" -> {
+                exchange.respond(HttpReply.json(OK, calls));
+                return;
+            }
+            default -> throw new GaugehollowException(ResultCode.UNKNOWN_PATH, "no such switch");
+        }
+        exchange.respond(HttpReply.json(OK, Map.of()));
+    }
+
+    private void serve(HttpExchange exchange) throws InterruptedException
+    {
+        String path = exchange.request().path();
+        calls.computeIfAbsent(path, p -> new AtomicInteger()).incrementAndGet();
+        boolean write = path.startsWith("/v3/kv/txn") || path.startsWith("/v3/lease");
+        (write ? writes : reads).take();
+        if ("/v1/workers".equals(path))
+        {
+            exchange.respond(HttpReply.json(OK, roster.groups()));
+            return;
+        }
+        JsonNode body = Json.read(exchange.request().body(), JsonNode.class, ResultCode.BAD_REQUEST);
+        switch (path)
+        {
+            case "/v3/kv/range" -> exchange.respond(HttpReply.json(OK, range(body)));
+            case "/v3/kv/txn" -> transaction(exchange, body);
+            case "/v3/lease/grant" -> {
+                long seconds = body.path("TTL").asLong();
+                exchange.respond(HttpReply.json(OK,
+                        Map.of("ID", Long.toString(store.grant(seconds)), "TTL", Long.toString(seconds))));
+            }
+            case "/v3/lease/keepalive" -> exchange.respond(HttpReply.json(OK, Map.of("result", Map.of("ID",
+                    body.path("ID").asText(), "TTL", Long.toString(store.renew(body.path("ID").asLong()))))));
+            case "/v3/lease/revoke" -> {
+                store.revoke(body.path("ID").asLong());
+                exchange.respond(HttpReply.json(OK, Map.of()));
+            }
+            case "/v3/watch" -> watch(exchange, body.path("create_request"));
+            default -> throw new GaugehollowException(ResultCode.UNKNOWN_PATH, "not a path of this stand-in");
+        }
+    }
+
+    private ObjectNode range(JsonNode body)
+    {
+        Optional<String> end = body.has("range_end")
+                ? Optional.of(text(body.path("range_end")))
+                : Optional.empty();
+        ObjectNode answer = Json.mapper().createObjectNode();
+        ArrayNode kvs = answer.putArray("kvs");
+        for (StoredValue value : store.range(text(body.path("key")), end))
+        {
+            kvs.add(kv(value.key(), value.value(), value.modRevision()));
+        }
+        answer.putObject("header").put("revision", Long.toString(store.revision()));
+        return answer;
+    }
+
+    private void transaction(HttpExchange exchange, JsonNode body) throws InterruptedException
+    {
+        Map<String, Long> required = new HashMap<>();
+        for (JsonNode compare : body.path("compare"))
+        {
+            required.put(text(compare.path("key")), compare.path("mod_revision").asLong());
+        }
+        List<StandinStore.Write> wanted = new ArrayList<>();
+        for (JsonNode operation : body.path("success"))
+        {
+            wanted.add(writeOf(operation));
+        }
+        boolean applied = store.commit(required, wanted);
+        if (answersToLose.getAndUpdate(n -> Math.max(0, n - 1)) > 0)
+        {
+            exchange.abort();
+            return;
+        }
+        ObjectNode answer = Json.mapper().createObjectNode().put("succeeded", applied);
+        answer.putObject("header").put("revision", Long.toString(store.revision()));
+        exchange.respond(HttpReply.json(OK, answer));
+    }
+
+    private static StandinStore.Write writeOf(JsonNode operation)
+    {
+        if (operation.has("request_delete_range"))
+        {
+            return new StandinStore.Write(text(operation.path("request_delete_range").path("key")), null, 0);
+        }
+        JsonNode put = operation.path("request_put");
+        byte[] value = Base64.getDecoder().decode(put.path("value").asText());
+        if (value.length > LARGEST_VALUE)
+        {
+            throw new GaugehollowException(ResultCode.BODY_TOO_LARGE, "a value may have at most 1 MiB");
+        }
+        return new StandinStore.Write(text(put.path("key")), value, put.path("lease").asLong());
+    }
+
+    private void watch(HttpExchange exchange, JsonNode request) throws InterruptedException
+    {
+        String from = text(request.path("key"));
+        String end = text(request.path("range_end"));
+        long next = request.path("start_revision").asLong();
+        exchange.startLines();
+        while (exchange.isOpen())
+        {
+            if (switches.get().down())
+            {
+                exchange.abort();
+                return;
+            }
+            Optional<List<StoreChange>> changes = store.await(from, end, next, WATCH_SLICE_MILLIS);
+            if (changes.isEmpty())
+            {
+                exchange.writeLine(
+                        Json.write(Map.of("result", Map.of("canceled", true, "compact_revision", "1"))));
+                exchange.endLines();
+                return;
+            }
+            if (!changes.get().isEmpty())
+            {
+                exchange.writeLine(Json.write(Map.of("result", Map.of("events", eventsOf(changes.get())))));
+                next = changes.get().getLast().revision() + 1;
+            }
+        }
+    }
+
+    private static List<ObjectNode> eventsOf(List<StoreChange> changes)
+    {
+        List<ObjectNode> events = new ArrayList<>();
+        for (StoreChange change : changes)
+        {
+            ObjectNode event = Json.mapper().createObjectNode();
+            if (change.deleted())
+            {
+                event.put("type", "DELETE");
+            }
+            event.set("kv", kv(change.key(), change.value(), change.revision()));
+            events.add(event);
+        }
+        return events;
+    }
+
+    private static ObjectNode kv(String key, byte[] value, long modRevision)
+    {
+        return Json.mapper().createObjectNode()
+                .put("key", Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8)))
+                .put("value", Base64.getEncoder().encodeToString(value))
+                .put("mod_revision", Long.toString(modRevision));
+    }
+
+    private static String text(JsonNode base64)
+    {
+        return new String(Base64.getDecoder().decode(base64.asText()), StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close()
+    {
+        ticker.interrupt();
+        server.close();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/Answers.java
@@ -0,0 +1,55 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.peer.generated.PeerProtocol.Answer;
+
+import com.google.protobuf.ByteString;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+
+/** Makes and reads the answers that travel between boxes. */
+final class Answers
+{
+    private static final String UNTYPED = "application/octet-stream";
+
+    private Answers()
+    {
+    }
+
+    static Answer answered(HttpReply reply, String task, String box, String upstream)
+    {
+        String type = reply.headers().get(HttpHeaderNames.CONTENT_TYPE, UNTYPED);
+        return Answer.newBuilder().setCode(ResultCode.OK.number()).setStatus(reply.status())
+                .setContentType(type).setBody(ByteString.copyFrom(reply.body())).setTask(task).setBox(box)
+                .setUpstream(upstream).build();
+    }
+
+    static Answer refused(ResultCode code, String message, String task, String box)
+    {
+        return Answer.newBuilder().setCode(code.number()).setStatus(code.httpStatus())
+                .setMessage(String.valueOf(message)).setTask(task).setBox(box)
+                .setRetryAfterMillis(code.retryAfterMillis()).build();
+    }
+
+    static Answer refused(GaugehollowException e, String task, String box)
+    {
+        return refused(e.code(), e.getMessage(), task, box);
+    }
+
+    static ResultCode codeOf(Answer answer)
+    {
+        return ResultCode.ofNumber(answer.getCode());
+    }
+
+    static boolean notRun(Answer answer)
+    {
+        return codeOf(answer).outcome() == Outcome.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/CallerApi.java
@@ -0,0 +1,155 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.gaugehollow.config.ActiveConfig;
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.WorkloadSpec;
+import org.gaugehollow.net.HttpExchange;
+import org.gaugehollow.net.HttpHandler;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.peer.generated.PeerProtocol.Answer;
+import org.gaugehollow.upstream.UpstreamHeaders;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** The callers' port: {@code POST /v1/workloads/NAME/requests}, answered on the same exchange. */
+final class CallerApi implements HttpHandler
+{
+    private static final String PREFIX = "/v1/workloads/";
+    private static final String SUFFIX = "/requests";
+    private static final String UNTYPED = "application/octet-stream";
+    private static final int LONGEST_KEY = 200;
+    private static final int DEFAULT_TIMEOUT_MILLIS = 5_000;
+    private static final int RADIX = 36;
+
+    private final String box;
+    private final RequestRouter router;
+    private final AtomicReference<ActiveConfig> config;
+    private final Metrics metrics;
+    private final EventLog events;
+    private final AtomicLong lastTask = new AtomicLong();
+
+    CallerApi(String box, RequestRouter router, AtomicReference<ActiveConfig> config, Metrics metrics,
+            EventLog events)
+    {
+        this.box = box;
+        this.router = router;
+        this.config = config;
+        this.metrics = metrics;
+        this.events = events;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws InterruptedException
+    {
+        HttpMessage message = exchange.request();
+        String workload = workloadOf(message);
+        CallerRequest request = requestOf(message, workload);
+        Answer answer = router.route(request);
+        String taskClass = spec(workload) == null ? "none" : spec(workload).taskClass().label();
+        metrics.results().labelValues(taskClass, Integer.toString(answer.getCode())).inc();
+        events.record(EventType.TASK_ENDED, request.task(), Answers.codeOf(answer).name());
+        exchange.respond(replyOf(answer, request));
+    }
+
+    private static String workloadOf(HttpMessage message)
+    {
+        String path = message.path();
+        boolean ours = path.startsWith(PREFIX) && path.endsWith(SUFFIX)
+                && path.length() > PREFIX.length() + SUFFIX.length();
+        if (!ours || !"POST".equals(message.method()))
+        {
+            throw new GaugehollowException(ResultCode.UNKNOWN_PATH,
+                    "expected POST /v1/workloads/NAME/requests");
+        }
+        return path.substring(PREFIX.length(), path.length() - SUFFIX.length());
+    }
+
+    private CallerRequest requestOf(HttpMessage message, String workload)
+    {
+        String team = message.header(UpstreamHeaders.TEAM)
+                .orElseThrow(() -> new GaugehollowException(ResultCode.BAD_REQUEST,
+                        "header Gaugehollow-Team is required"));
+        String key = message.header(UpstreamHeaders.KEY).orElse("");
+        if (key.length() > LONGEST_KEY || key.chars().anyMatch(c -> c < ' ' || c > '~'))
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST,
+                    "Idempotency-Key may have at most " + LONGEST_KEY + " printable ASCII characters");
+        }
+        WorkloadSpec spec = spec(workload);
+        long fallback = spec == null ? DEFAULT_TIMEOUT_MILLIS : spec.timeoutMillis();
+        long timeout = number(message, UpstreamHeaders.TIMEOUT, fallback);
+        if (timeout < 1 || timeout > TimeUnit.MINUTES.toMillis(10))
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST,
+                    "Gaugehollow-Timeout-Millis: expected 1 to 600000");
+        }
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeout);
+        String task = box + '-' + Long.toString(lastTask.incrementAndGet(), RADIX);
+        return new CallerRequest(task, team, workload, key, issuedAt(message, key), deadline,
+                message.header(HttpHeaderNames.CONTENT_TYPE.toString()).orElse(UNTYPED), message.body(), 0);
+    }
+
+    private WorkloadSpec spec(String workload)
+    {
+        ActiveConfig current = config.get();
+        return current == null ? null : current.workload(workload).orElse(null);
+    }
+
+    /** The time that the caller gives, or the one inside a version 7 UUID, or 0. */
+    private static long issuedAt(HttpMessage message, String key)
+    {
+        long inside = KeyTime.ofUuid(key);
+        long given = number(message, UpstreamHeaders.KEY_ISSUED, inside);
+        if (given < 0)
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST,
+                    "Gaugehollow-Key-Issued-Millis must not be negative");
+        }
+        return given;
+    }
+
+    private static long number(HttpMessage message, String header, long fallback)
+    {
+        try
+        {
+            return message.header(header).map(Long::parseLong).orElse(fallback);
+        }
+        catch (NumberFormatException e)
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST, header + ": expected a whole number", e);
+        }
+    }
+
+    private HttpReply replyOf(Answer answer, CallerRequest request)
+    {
+        ResultCode code = Answers.codeOf(answer);
+        HttpReply reply = code.outcome() == Outcome.ANSWERED
+                ? HttpReply.of(answer.getStatus(), answer.getContentType(), answer.getBody().toByteArray())
+                : HttpReply.error(code, answer.getMessage(), answer.getRetryAfterMillis());
+        HttpHeaders headers = reply.headers();
+        headers.set(UpstreamHeaders.TASK, answer.getTask().isEmpty() ? request.task() : answer.getTask());
+        headers.set(UpstreamHeaders.BOX, answer.getBox().isEmpty() ? box : answer.getBox());
+        headers.set(UpstreamHeaders.OUTCOME, code.outcome().label());
+        headers.set(UpstreamHeaders.CODE, code.number());
+        if (!answer.getUpstream().isEmpty())
+        {
+            headers.set(UpstreamHeaders.UPSTREAM, answer.getUpstream());
+        }
+        return reply;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/KeyTime.java
@@ -0,0 +1,37 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.UUID;
+
+/** Reads the time that some keys carry. */
+final class KeyTime
+{
+    private static final int TIME_ORDERED = 7;
+    private static final int TIME_SHIFT = 16;
+    private static final int UUID_LENGTH = 36;
+
+    private KeyTime()
+    {
+    }
+
+    /** The milliseconds since 1970 inside a version 7 UUID, or 0 for any other key. */
+    static long ofUuid(String key)
+    {
+        if (key.length() != UUID_LENGTH)
+        {
+            return 0;
+        }
+        try
+        {
+            UUID uuid = UUID.fromString(key);
+            return uuid.version() == TIME_ORDERED ? uuid.getMostSignificantBits() >>> TIME_SHIFT : 0;
+        }
+        catch (IllegalArgumentException e)
+        {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/OwnedUpstream.java
@@ -0,0 +1,254 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.membership.Rights;
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.Worker;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.placement.Placement;
+import org.gaugehollow.placement.PlacementEngine;
+import org.gaugehollow.supervise.SupervisedTask;
+import org.gaugehollow.upstream.UpstreamClaim;
+import org.gaugehollow.upstream.UpstreamClient;
+import org.gaugehollow.upstream.UpstreamHealth;
+import org.gaugehollow.upstream.UpstreamReport;
+import org.gaugehollow.upstream.UpstreamRequest;
+import org.gaugehollow.upstream.UpstreamTask;
+
+/**
+ * A worker that the map gives to this box. It is claimed first, what still runs there is counted,
+ * and only then does it get work; afterwards it is asked every second what runs.
+ */
+final class OwnedUpstream implements SupervisedTask, AutoCloseable
+{
+    private static final long PROBE_MILLIS = 1_000;
+    private static final long QUICK_PROBE_MILLIS = 250;
+    private static final long NO_RIGHTS_MILLIS = 50;
+
+    private final Worker worker;
+    private final long epoch;
+    private final String box;
+    private final UpstreamClient client;
+    private final UpstreamHealth health;
+    private final PlacementEngine engine;
+    private final Rights rights;
+    private final EventLog events;
+    /** Tasks whose outcome is unknown: they hold their room until the worker no longer names them. */
+    private final Map<Placement, Long> lingering = new ConcurrentHashMap<>();
+    private volatile boolean claimed;
+    private volatile boolean closed;
+    private boolean reachable = true;
+    private volatile boolean leaving;
+    private volatile boolean listedAsLeaving;
+
+    OwnedUpstream(Worker worker, long epoch, String box, UpstreamClient client, PlacementEngine engine,
+            Rights rights, EventLog events)
+    {
+        this.worker = worker;
+        this.epoch = epoch;
+        this.box = box;
+        this.client = client;
+        this.health = new UpstreamHealth(worker.capacity().slots());
+        this.engine = engine;
+        this.rights = rights;
+        this.events = events;
+        this.listedAsLeaving = worker.leaving();
+    }
+
+    Worker worker()
+    {
+        return worker;
+    }
+
+    long epoch()
+    {
+        return epoch;
+    }
+
+    /** The platform's list says whether the worker is leaving; its own word counts beside that. */
+    void setListedAsLeaving(boolean value)
+    {
+        listedAsLeaving = value;
+        if (value)
+        {
+            engine.setAccepting(worker.id(), false);
+        }
+    }
+
+    @Override
+    public void run() throws InterruptedException
+    {
+        while (true)
+        {
+            if (!rights.valid())
+            {
+                engine.setAccepting(worker.id(), false);
+                Thread.sleep(NO_RIGHTS_MILLIS);
+                continue;
+            }
+            probeOnce();
+            boolean settled = claimed && health.allowedSlots() == worker.capacity().slots()
+                    && lingering.isEmpty();
+            Thread.sleep(settled ? PROBE_MILLIS : QUICK_PROBE_MILLIS);
+        }
+    }
+
+    /**
+     * Sends a request to the worker. Rights are checked directly before.
+     *
+     * @return the worker's whole answer
+     * @throws GaugehollowException
+     *             with a code whose outcome says whether the request may have run
+     */
+    HttpReply send(Placement placement, UpstreamRequest request, long deadlineNanos)
+            throws InterruptedException
+    {
+        boolean keepRoom = false;
+        try
+        {
+            if (!rights.valid())
+            {
+                throw new GaugehollowException(ResultCode.NO_RIGHTS,
+                        "this box may not use " + worker.id() + " now");
+            }
+            HttpReply reply = client.run(request, epoch, deadlineNanos);
+            health.answered();
+            return reply;
+        }
+        catch (GaugehollowException e)
+        {
+            keepRoom = e.code().outcome() != Outcome.NOT_RUN && !closed;
+            noteFailure(e);
+            throw e;
+        }
+        finally
+        {
+            if (keepRoom)
+            {
+                lingering.put(placement, System.nanoTime());
+            }
+            else
+            {
+                engine.release(placement);
+            }
+        }
+    }
+
+    private void noteFailure(GaugehollowException e)
+    {
+        if (e.code() == ResultCode.FENCED)
+        {
+            claimed = false;
+        }
+        boolean out = switch (e.code())
+        {
+            case UPSTREAM_REFUSED, FENCED -> health.unreachable();
+            case OUTCOME_UNKNOWN, UPSTREAM_TIMEOUT -> health.failed();
+            default -> false;
+        };
+        if (out)
+        {
+            engine.setAccepting(worker.id(), false);
+            events.record(EventType.WORKER_OUT, worker.id(), e.getMessage());
+        }
+    }
+
+    private void probeOnce() throws InterruptedException
+    {
+        long askedAt = System.nanoTime();
+        try
+        {
+            UpstreamReport report = claimed ? client.report() : client.claim(new UpstreamClaim(box, epoch));
+            if (!claimed)
+            {
+                claimed = true;
+                events.record(EventType.WORKER_CLAIMED, worker.id(),
+                        "epoch " + epoch + ", " + report.tasks().size() + " tasks running");
+            }
+            apply(report, askedAt);
+            reachable = true;
+        }
+        catch (GaugehollowException e)
+        {
+            engine.setAccepting(worker.id(), false);
+            boolean out = health.unreachable();
+            if (out || reachable)
+            {
+                events.record(claimed ? EventType.WORKER_OUT : EventType.WORKER_CLAIM_FAILED, worker.id(),
+                        e.getMessage());
+            }
+            reachable = false;
+            claimed = claimed && e.code() != ResultCode.FENCED;
+        }
+    }
+
+    private void apply(UpstreamReport report, long askedAt)
+    {
+        releaseLingering(report, askedAt);
+        if (report.leaving() && !leaving)
+        {
+            events.record(EventType.WORKER_LEAVING, worker.id(), "by its own word");
+        }
+        leaving = report.leaving();
+        if (health.probed())
+        {
+            events.record(EventType.WORKER_BACK, worker.id(), "");
+        }
+        int slots = Math.min(worker.capacity().slots(), health.allowedSlots());
+        Amounts usable = new Amounts(slots, worker.capacity().cpuMillis(), worker.capacity().memoryMib(),
+                worker.capacity().accelerators());
+        boolean accepting = !leaving && !listedAsLeaving && rights.valid();
+        engine.putWorker(worker.id(), epoch, usable, foreign(report), accepting);
+    }
+
+    /** What runs there and was started by an earlier owner. */
+    private Amounts foreign(UpstreamReport report)
+    {
+        Amounts sum = Amounts.NONE;
+        for (UpstreamTask task : report.tasks())
+        {
+            if (task.epoch() != epoch)
+            {
+                sum = sum.plus(task.needs());
+            }
+        }
+        return sum;
+    }
+
+    private void releaseLingering(UpstreamReport report, long askedAt)
+    {
+        Set<String> running = new HashSet<>();
+        report.tasks().forEach(task -> running.add(task.task()));
+        lingering.forEach((placement, since) ->
+        {
+            boolean over = since - askedAt < 0 && !running.contains(placement.demand().task());
+            if (over && lingering.remove(placement) != null)
+            {
+                engine.release(placement);
+            }
+        });
+    }
+
+    @Override
+    public void close()
+    {
+        closed = true;
+        engine.removeWorker(worker.id());
+        lingering.keySet().forEach(engine::release);
+        lingering.clear();
+        client.close();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PauseDetector.java
@@ -0,0 +1,69 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.membership.Rights;
+import org.gaugehollow.supervise.SupervisedTask;
+
+/**
+ * Notices that the process did not run for a while: its own ticks came late, or the wall clock
+ * moved on while the monotonic one stood still. Rights are then put aside until the store renews
+ * them.
+ */
+final class PauseDetector implements SupervisedTask
+{
+    private static final long TICK_MILLIS = 50;
+
+    private final long pauseMillis;
+    private final Rights rights;
+    private final Runnable renewNow;
+    private final EventLog events;
+
+    /** pauseMillis: the least gap that counts as a pause. */
+    PauseDetector(long pauseMillis, Rights rights, Runnable renewNow, EventLog events)
+    {
+        this.pauseMillis = pauseMillis;
+        this.rights = rights;
+        this.renewNow = renewNow;
+        this.events = events;
+    }
+
+    @Override
+    public void run() throws InterruptedException
+    {
+        long lastNanos = System.nanoTime();
+        long lastWall = System.currentTimeMillis();
+        while (true)
+        {
+            Thread.sleep(TICK_MILLIS);
+            long nanos = System.nanoTime();
+            long wall = System.currentTimeMillis();
+            long ran = TimeUnit.NANOSECONDS.toMillis(nanos - lastNanos);
+            long passed = wall - lastWall;
+            if (passed - ran > pauseMillis)
+            {
+                rights.lost();
+                report(passed, "the monotonic clock stood still");
+            }
+            else if (ran > pauseMillis)
+            {
+                rights.paused();
+                report(ran, "the process did not run");
+            }
+            lastNanos = nanos;
+            lastWall = wall;
+        }
+    }
+
+    private void report(long millis, String what)
+    {
+        renewNow.run();
+        events.record(EventType.PAUSE_DETECTED, "process", what + " for " + millis + " ms");
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PeerCalls.java
@@ -0,0 +1,112 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+import org.gaugehollow.config.ConfigDelta;
+import org.gaugehollow.config.ConfigKeeper;
+import org.gaugehollow.keys.ReplicaTable;
+import org.gaugehollow.membership.RosterKeeper;
+import org.gaugehollow.membership.StateMessages;
+import org.gaugehollow.membership.StoreEvidence;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.peer.PeerHandler;
+import org.gaugehollow.peer.generated.PeerProtocol.Answer;
+import org.gaugehollow.peer.generated.PeerProtocol.BoxStatus;
+import org.gaugehollow.peer.generated.PeerProtocol.CopyReply;
+import org.gaugehollow.peer.generated.PeerProtocol.ForwardCall;
+import org.gaugehollow.peer.generated.PeerProtocol.ForwardReply;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.peer.generated.PeerProtocol.PingReply;
+import org.gaugehollow.peer.generated.PeerProtocol.StateCall;
+import org.gaugehollow.peer.generated.PeerProtocol.StateReply;
+
+import com.google.protobuf.ByteString;
+
+/** Answers the calls of peers. */
+final class PeerCalls implements PeerHandler
+{
+    private static final String UNTYPED = "application/octet-stream";
+
+    private final Supplier<BoxStatus> ownStatus;
+    private final StoreEvidence evidence;
+    private final ConfigKeeper config;
+    private final RosterKeeper roster;
+    private final ReplicaTable replicas;
+    private final RequestRouter router;
+    private final AtomicInteger inFlight = new AtomicInteger();
+
+    PeerCalls(Supplier<BoxStatus> ownStatus, StoreEvidence evidence, ConfigKeeper config, RosterKeeper roster,
+            ReplicaTable replicas, RequestRouter router)
+    {
+        this.ownStatus = ownStatus;
+        this.evidence = evidence;
+        this.config = config;
+        this.roster = roster;
+        this.replicas = replicas;
+        this.router = router;
+    }
+
+    /** @return how many forwarded requests are being answered */
+    int inFlight()
+    {
+        return inFlight.get();
+    }
+
+    @Override
+    public Frame.Builder handle(Frame call) throws InterruptedException
+    {
+        return switch (call.getBodyCase())
+        {
+            case PING -> ping(call.getPing().getStatus());
+            case FORWARD -> forward(call.getForward());
+            case COPY -> Frame.newBuilder()
+                    .setCopyReply(CopyReply.newBuilder().setAccepted(replicas.take(call.getCopy())));
+            case STATE -> state(call.getState());
+            default ->
+                throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "not a call: " + call.getBodyCase());
+        };
+    }
+
+    private Frame.Builder ping(BoxStatus sender)
+    {
+        evidence.heard(sender.getStoreEvidenceAgeMillis());
+        return Frame.newBuilder().setPingReply(PingReply.newBuilder().setStatus(ownStatus.get()));
+    }
+
+    private Frame.Builder forward(ForwardCall call) throws InterruptedException
+    {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(call.getRemainingMillis());
+        String contentType = call.getContentType().isEmpty() ? UNTYPED : call.getContentType();
+        CallerRequest request = new CallerRequest(call.getTask(), call.getTeam(), call.getWorkload(),
+                call.getKey(), call.getKeyIssuedAt(), deadline, contentType, call.getBody().toByteArray(),
+                call.getHops());
+        inFlight.incrementAndGet();
+        try
+        {
+            Answer answer = router.routeForwarded(request, call.getPlaceOnly());
+            return Frame.newBuilder().setForwardReply(ForwardReply.newBuilder().setAnswer(answer));
+        }
+        finally
+        {
+            inFlight.decrementAndGet();
+        }
+    }
+
+    private Frame.Builder state(StateCall call)
+    {
+        ConfigDelta delta = config.since(call.getConfigRevision());
+        StateReply.Builder reply = StateMessages.replyOf(delta);
+        if (roster.version() > call.getRosterVersion())
+        {
+            reply.setRosterVersion(roster.version()).setRoster(ByteString.copyFrom(roster.encoded()));
+        }
+        return Frame.newBuilder().setStateReply(reply);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/RequestRouter.java
@@ -0,0 +1,232 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.gaugehollow.config.ActiveConfig;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.HallMap;
+import org.gaugehollow.model.KeySlots;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TeamSpec;
+import org.gaugehollow.model.WorkloadSpec;
+import org.gaugehollow.peer.generated.PeerProtocol.Answer;
+
+/**
+ * Brings a request to where it is decided: one with a key to the box that owns the key's slot in
+ * the team's home hall, any other one to this box's own runner.
+ */
+final class RequestRouter
+{
+    private static final int MOST_HOPS = 3;
+    private static final int MOST_BOXES_TRIED = 2;
+    private static final long FIRST_PAUSE_MILLIS = 25;
+    private static final long LONGEST_PAUSE_MILLIS = 400;
+
+    private final RequestSupport support;
+    private final LocalRunner runner;
+    private final KeyedRunner keyedRunner;
+    private final PeerForwarder forwarder;
+    private final UniformRandomProvider random = RandomSource.XO_SHI_RO_128_PP.create();
+
+    RequestRouter(RequestSupport support, LocalRunner runner, KeyedRunner keyedRunner,
+            PeerForwarder forwarder)
+    {
+        this.support = support;
+        this.runner = runner;
+        this.keyedRunner = keyedRunner;
+        this.forwarder = forwarder;
+    }
+
+    /**
+     * Answers a caller's request.
+     *
+     * @param request
+     *            the request
+     * @return the answer
+     * @throws InterruptedException
+     *             if the process stops
+     */
+    Answer route(CallerRequest request) throws InterruptedException
+    {
+        support.retries().requestArrived();
+        try
+        {
+            ActiveConfig config = config();
+            WorkloadSpec workload = workloadOf(request, config);
+            TeamSpec team = teamOf(request, config);
+            check(request, workload);
+            return request.hasKey()
+                    ? routeKeyed(request, workload, team)
+                    : runner.run(request, workload, team);
+        }
+        catch (GaugehollowException e)
+        {
+            return Answers.refused(e, request.task(), support.self().id());
+        }
+    }
+
+    /**
+     * Answers a request that a peer passed on.
+     *
+     * @param request
+     *            the request
+     * @param placeOnly
+     *            whether it is to run on this box's own workers at once or not at all
+     * @return the answer
+     * @throws InterruptedException
+     *             if the process stops
+     */
+    Answer routeForwarded(CallerRequest request, boolean placeOnly) throws InterruptedException
+    {
+        if (!placeOnly)
+        {
+            return route(request);
+        }
+        try
+        {
+            ActiveConfig config = config();
+            return runner.runNow(request, workloadOf(request, config), teamOf(request, config));
+        }
+        catch (GaugehollowException e)
+        {
+            return Answers.refused(e, request.task(), support.self().id());
+        }
+    }
+
+    /**
+     * Asks the owner until it says what became of the key. Asking again is safe whatever happened to an
+     * earlier ask, because the owner runs a key once; but "not run" is true only if no earlier ask is
+     * open.
+     */
+    private Answer routeKeyed(CallerRequest request, WorkloadSpec workload, TeamSpec team)
+            throws InterruptedException
+    {
+        long pause = FIRST_PAUSE_MILLIS;
+        boolean earlierAskOpen = false;
+        while (true)
+        {
+            Answer answer = askOwnerOnce(request, workload, team);
+            if (!worthAskingAgain(answer) || request.hops() > 0 || request.remainingMillis() <= pause)
+            {
+                return earlierAskOpen && Answers.notRun(answer) ? asUnknown(answer) : answer;
+            }
+            earlierAskOpen |= !Answers.notRun(answer);
+            Thread.sleep(pause);
+            pause = Math.min(LONGEST_PAUSE_MILLIS, pause * 2);
+        }
+    }
+
+    private static Answer asUnknown(Answer answer)
+    {
+        ResultCode code = ResultCode.PEER_LOST;
+        return answer.toBuilder().setCode(code.number()).setStatus(code.httpStatus())
+                .setMessage("an earlier ask for the key may have run; " + answer.getMessage()).build();
+    }
+
+    private static boolean worthAskingAgain(Answer answer)
+    {
+        return switch (Answers.codeOf(answer))
+        {
+            case PEER_LOST, PEER_UNREACHABLE, KEY_MOVING, NO_RIGHTS, NO_COPY -> true;
+            default -> false;
+        };
+    }
+
+    private Answer askOwnerOnce(CallerRequest request, WorkloadSpec workload, TeamSpec team)
+            throws InterruptedException
+    {
+        if (!team.homeHall().equals(support.self().hall()))
+        {
+            return forwardToHall(team.homeHall(), request);
+        }
+        Optional<HallMap> map = support.halls().map();
+        if (map.isEmpty())
+        {
+            return refused(ResultCode.KEY_MOVING, "the hall has no map yet", request);
+        }
+        String owner = map.get().slotOwners().get(KeySlots.slotOf(request.team(), request.key())).box();
+        if (owner.equals(support.self().id()))
+        {
+            return keyedRunner.ask(request, workload, team);
+        }
+        if (request.hops() >= MOST_HOPS)
+        {
+            return refused(ResultCode.KEY_MOVING, "the key's owner is changing", request);
+        }
+        return forwarder.forward(map.get().boxes().get(owner).peerAddress(), request, false);
+    }
+
+    /** Any box of the hall passes the request on to the owner; two are tried. */
+    private Answer forwardToHall(String hall, CallerRequest request) throws InterruptedException
+    {
+        List<HallMap.MapBox> boxes = support.halls().mapOf(hall).map(m -> List.copyOf(m.boxes().values()))
+                .orElse(List.of());
+        if (request.hops() < MOST_HOPS)
+        {
+            int first = boxes.isEmpty() ? 0 : random.nextInt(boxes.size());
+            for (int i = 0; i < Math.min(MOST_BOXES_TRIED, boxes.size()); i++)
+            {
+                HallMap.MapBox box = boxes.get((first + i) % boxes.size());
+                Answer answer = forwarder.forward(box.peerAddress(), request, false);
+                if (Answers.codeOf(answer) != ResultCode.PEER_UNREACHABLE)
+                {
+                    return answer;
+                }
+            }
+        }
+        return refused(ResultCode.HALL_UNREACHABLE, "hall " + hall + " cannot be reached", request);
+    }
+
+    private ActiveConfig config()
+    {
+        ActiveConfig config = support.config().get();
+        if (config == null)
+        {
+            throw new GaugehollowException(ResultCode.CONFIG_NOT_READY, "this box has no configuration yet");
+        }
+        return config;
+    }
+
+    private static WorkloadSpec workloadOf(CallerRequest request, ActiveConfig config)
+    {
+        return config.workload(request.workload())
+                .orElseThrow(() -> new GaugehollowException(ResultCode.UNKNOWN_WORKLOAD,
+                        "no workload \"" + request.workload() + "\" is in force"));
+    }
+
+    private static TeamSpec teamOf(CallerRequest request, ActiveConfig config)
+    {
+        return config.team(request.team()).orElseThrow(() -> new GaugehollowException(ResultCode.UNKNOWN_TEAM,
+                "no team \"" + request.team() + "\" is in force"));
+    }
+
+    private static void check(CallerRequest request, WorkloadSpec workload)
+    {
+        if (request.body().length > workload.maxBodyBytes())
+        {
+            throw new GaugehollowException(ResultCode.BODY_TOO_LARGE,
+                    "the workload takes bodies of at most " + workload.maxBodyBytes() + " bytes");
+        }
+        if (!workload.repeatable() && !request.hasKey())
+        {
+            throw new GaugehollowException(ResultCode.KEY_REQUIRED,
+                    "requests of this workload may not be repeated and need an Idempotency-Key");
+        }
+        if (request.expired())
+        {
+            throw new GaugehollowException(ResultCode.DEADLINE_PASSED, "the deadline has passed");
+        }
+    }
+
+    private Answer refused(ResultCode code, String message, CallerRequest request)
+    {
+        return Answers.refused(code, message, request.task(), support.self().id());
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/ResourceApi.java
@@ -0,0 +1,256 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.config.ActiveConfig;
+import org.gaugehollow.config.ConfigKeeper;
+import org.gaugehollow.config.ResourceStore;
+import org.gaugehollow.config.StoreKeys;
+import org.gaugehollow.model.Checks;
+import org.gaugehollow.model.ComparisonSpec;
+import org.gaugehollow.model.ConfigEntry;
+import org.gaugehollow.model.Envelope;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.PolicySpec;
+import org.gaugehollow.model.ResourceKind;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TeamSpec;
+import org.gaugehollow.net.HttpExchange;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.placement.PolicyRegistry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+
+/** The operators' resources: list, get, create, change by revision, delete, watch. */
+final class ResourceApi
+{
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final long HEARTBEAT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final ConfigKeeper config;
+    private final ResourceStore store;
+    private final PolicyRegistry policies;
+
+    ResourceApi(ConfigKeeper config, ResourceStore store, PolicyRegistry policies)
+    {
+        this.config = config;
+        this.store = store;
+        this.policies = policies;
+    }
+
+    /** Answers {@code /v1/KIND}: the list, or a watch. */
+    void handleKind(HttpExchange exchange, ResourceKind kind) throws InterruptedException
+    {
+        HttpMessage message = exchange.request();
+        requireMethod(message, "GET");
+        if (message.parameter("watch").filter("true"::equals).isPresent())
+        {
+            watch(exchange, kind);
+            return;
+        }
+        long revision = config.revision();
+        List<ResourceView> items = new ArrayList<>();
+        config.list(kind.plural() + '/').forEach(entry -> items.add(viewOf(entry)));
+        exchange.respond(HttpReply.json(OK, Map.of("revision", revision, "items", items)));
+    }
+
+    /** Answers {@code /v1/KIND/NAME}. */
+    void handleResource(HttpExchange exchange, ResourceKind kind, String name) throws InterruptedException
+    {
+        HttpMessage message = exchange.request();
+        Checks.name(name, "name");
+        switch (message.method())
+        {
+            case "GET" -> exchange.respond(withTag(OK, existing(kind, name)));
+            case "PUT" -> exchange.respond(put(message, kind, name));
+            case "DELETE" -> {
+                ConfigEntry removed = store.delete(StoreKeys.resource(kind, checkUnused(kind, name)),
+                        requiredRevision(message));
+                config.applyOwn(removed);
+                exchange.respond(HttpReply.json(OK, Map.of("kind", kind.plural(), "name", name,
+                        "deletedAtRevision", removed.revision())));
+            }
+            default -> throw new GaugehollowException(ResultCode.UNKNOWN_PATH, "expected GET, PUT or DELETE");
+        }
+    }
+
+    private HttpReply put(HttpMessage message, ResourceKind kind, String name) throws InterruptedException
+    {
+        Object spec = ActiveConfig.parseSpec(kind, message.body());
+        checkContent(kind, name, spec);
+        Optional<Long> expected = revisionOf(message);
+        String key = StoreKeys.resource(kind, name);
+        if (expected.isEmpty() && config.get(key).isPresent())
+        {
+            throw new GaugehollowException(ResultCode.REVISION_REQUIRED, "the resource exists at revision "
+                    + config.get(key).get().revision() + "; send it as If-Match");
+        }
+        JsonNode content = Json.read(message.body(), JsonNode.class, ResultCode.RESOURCE_INVALID);
+        ConfigEntry written = store.put(key, expected, content);
+        config.applyOwn(written);
+        return withTag(expected.isPresent() ? OK : CREATED, written);
+    }
+
+    private void checkContent(ResourceKind kind, String name, Object spec)
+    {
+        switch (spec)
+        {
+            case PolicySpec policy -> policies.create(policy);
+            case ComparisonSpec comparison -> {
+                existing(ResourceKind.POLICY, comparison.first());
+                existing(ResourceKind.POLICY, comparison.second());
+            }
+            case TeamSpec team -> checkHomeHallKept(kind, name, team);
+            default -> {
+                // the record's own checks are enough
+            }
+        }
+    }
+
+    /** Keys are remembered in the home hall, so a team that moved could have a key run in both. */
+    private void checkHomeHallKept(ResourceKind kind, String name, TeamSpec next)
+    {
+        Optional<ConfigEntry> held = config.get(StoreKeys.resource(kind, name));
+        if (held.isEmpty())
+        {
+            return;
+        }
+        JsonNode hall = envelopeOf(held.get()).spec().path("homeHall");
+        if (!hall.asText().equals(next.homeHall()))
+        {
+            throw new GaugehollowException(ResultCode.FIELD_IMMUTABLE,
+                    "homeHall may not change from " + hall.asText());
+        }
+    }
+
+    private String checkUnused(ResourceKind kind, String name)
+    {
+        if (kind != ResourceKind.POLICY)
+        {
+            return name;
+        }
+        for (ConfigEntry entry : config.list(ResourceKind.COMPARISON.plural() + '/'))
+        {
+            JsonNode spec = envelopeOf(entry).spec();
+            if (name.equals(spec.path("first").asText()) || name.equals(spec.path("second").asText()))
+            {
+                throw new GaugehollowException(ResultCode.RESOURCE_IN_USE,
+                        entry.name() + " compares this policy");
+            }
+        }
+        return name;
+    }
+
+    private void watch(HttpExchange exchange, ResourceKind kind) throws InterruptedException
+    {
+        long from = exchange.request().parameter("from").map(ResourceApi::number).orElseGet(config::revision);
+        exchange.startLines();
+        while (exchange.isOpen())
+        {
+            Optional<List<ConfigEntry>> changes = config.awaitAfter(from, HEARTBEAT_NANOS);
+            if (changes.isEmpty())
+            {
+                String text = "revision " + from + " is no longer held; list again and watch from there";
+                exchange.writeLine(Json.write(new WatchLine("ERROR", from, null, text)));
+                exchange.endLines();
+                return;
+            }
+            for (ConfigEntry change : changes.get())
+            {
+                from = change.revision();
+                if (change.name().startsWith(kind.plural() + '/'))
+                {
+                    exchange.writeLine(Json.write(lineOf(change)));
+                }
+            }
+            if (changes.get().isEmpty())
+            {
+                exchange.writeLine(Json.write(new WatchLine("HEARTBEAT", from, null, null)));
+            }
+        }
+    }
+
+    private static WatchLine lineOf(ConfigEntry change)
+    {
+        if (!change.deleted())
+        {
+            return new WatchLine("PUT", change.revision(), viewOf(change), null);
+        }
+        int slash = change.name().indexOf('/');
+        ResourceView gone = new ResourceView(change.name().substring(0, slash),
+                change.name().substring(slash + 1), change.revision(), null, null);
+        return new WatchLine("DELETE", change.revision(), gone, null);
+    }
+
+    private ConfigEntry existing(ResourceKind kind, String name)
+    {
+        return config.get(StoreKeys.resource(kind, name))
+                .orElseThrow(() -> new GaugehollowException(ResultCode.RESOURCE_NOT_FOUND,
+                        kind.plural() + '/' + name + " is not there"));
+    }
+
+    private static HttpReply withTag(int status, ConfigEntry entry)
+    {
+        HttpReply reply = HttpReply.json(status, viewOf(entry));
+        reply.headers().set(HttpHeaderNames.ETAG, "\"" + entry.revision() + '"');
+        return reply;
+    }
+
+    private static ResourceView viewOf(ConfigEntry entry)
+    {
+        int slash = entry.name().indexOf('/');
+        Envelope envelope = envelopeOf(entry);
+        return new ResourceView(entry.name().substring(0, slash), entry.name().substring(slash + 1),
+                entry.revision(), envelope.writeId(), envelope.spec());
+    }
+
+    private static Envelope envelopeOf(ConfigEntry entry)
+    {
+        return Json.read(entry.envelope(), Envelope.class, ResultCode.STORE_BAD_ANSWER);
+    }
+
+    private static Optional<Long> revisionOf(HttpMessage message)
+    {
+        return message.header(HttpHeaderNames.IF_MATCH.toString())
+                .map(tag -> number(tag.replace("\"", "").trim()));
+    }
+
+    private static long requiredRevision(HttpMessage message)
+    {
+        return revisionOf(message).orElseThrow(() -> new GaugehollowException(ResultCode.REVISION_REQUIRED,
+                "send the resource's revision as If-Match"));
+    }
+
+    static long number(String text)
+    {
+        try
+        {
+            return Long.parseLong(text);
+        }
+        catch (NumberFormatException e)
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST, "expected a whole number as revision", e);
+        }
+    }
+
+    static void requireMethod(HttpMessage message, String method)
+    {
+        if (!method.equals(message.method()))
+        {
+            throw new GaugehollowException(ResultCode.UNKNOWN_PATH, "expected " + method);
+        }
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -0,0 +1,104 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.event;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The metrics of one process, in a registry of its own so that several processes can share a JVM in
+ * tests.
+ */
+public final class Metrics
+{
+    /** The media type of {@link #scrape}. */
+    public static final String CONTENT_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+    private static final double[] SECONDS = {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
+            2, 5, 10};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter results = Counter.builder().name("gaugehollow_requests_total")
+            .help("Requests answered, by class and result code.").labelNames("class", "code")
+            .register(registry);
+    private final Histogram waiting = Histogram.builder().name("gaugehollow_waiting_seconds")
+            .help("Time a task waited for its placement, by class and policy.").labelNames("class", "policy")
+            .classicOnly().classicUpperBounds(SECONDS).register(registry);
+    private final Counter storeCalls = Counter.builder().name("gaugehollow_store_calls_total")
+            .help("Calls to the platform's service, by kind and result.").labelNames("kind", "result")
+            .register(registry);
+    private final Counter peerBytes = Counter.builder().name("gaugehollow_peer_bytes_total")
+            .help("Bytes sent to peers, by kind of call.").labelNames("kind").register(registry);
+    private final Counter retries = Counter.builder().name("gaugehollow_retries_total")
+            .help("Tries after a task was not run, by what became of the wish.").labelNames("result")
+            .register(registry);
+
+    /** @return requests answered */
+    public Counter results()
+    {
+        return results;
+    }
+
+    /** @return waiting times */
+    public Histogram waiting()
+    {
+        return waiting;
+    }
+
+    /** @return calls to the store */
+    public Counter storeCalls()
+    {
+        return storeCalls;
+    }
+
+    /** @return bytes sent to peers */
+    public Counter peerBytes()
+    {
+        return peerBytes;
+    }
+
+    /** @return tries after "not run" */
+    public Counter retries()
+    {
+        return retries;
+    }
+
+    /**
+     * Adds a gauge that is read when scraped.
+     *
+     * @param name
+     *            its name
+     * @param help
+     *            one sentence
+     * @param value
+     *            reads it
+     */
+    public void gauge(String name, String help, java.util.function.DoubleSupplier value)
+    {
+        GaugeWithCallback.builder().name(name).help(help).callback(c -> c.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /** @return all metrics in the text format */
+    public byte[] scrape()
+    {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try
+        {
+            new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+        }
+        catch (IOException e)
+        {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerDirectory.java
@@ -0,0 +1,66 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.peer;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.net.NetAddress;
+import org.gaugehollow.net.NetLoops;
+
+/** The links to peers, one for each address, opened when first used. Thread-safe. */
+public final class PeerDirectory implements AutoCloseable
+{
+    private final NetLoops loops;
+    private final EventLog events;
+    private final Metrics metrics;
+    private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+
+    /**
+     * @param loops
+     *            the event loops
+     * @param events
+     *            stamps calls
+     * @param metrics
+     *            counts bytes
+     */
+    public PeerDirectory(NetLoops loops, EventLog events, Metrics metrics)
+    {
+        this.loops = loops;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    /**
+     * @param address
+     *            a peer's address
+     * @return the link to it
+     */
+    public PeerLink link(String address)
+    {
+        return links.computeIfAbsent(address, a -> new PeerLink(loops, NetAddress.parse(a), events, metrics));
+    }
+
+    /**
+     * @param address
+     *            the address of a peer that is gone; its link is closed
+     */
+    public void drop(String address)
+    {
+        PeerLink link = links.remove(address);
+        if (link != null)
+        {
+            link.close();
+        }
+    }
+
+    @Override
+    public void close()
+    {
+        links.values().forEach(PeerLink::close);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/OwnedWorker.java
@@ -0,0 +1,87 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.gaugehollow.model.Amounts;
+
+/** What an engine knows of one worker. Not thread-safe: its engine guards it. */
+final class OwnedWorker
+{
+    private final String id;
+    private final Map<String, Placement> running = new HashMap<>();
+    private long epoch;
+    private Amounts capacity = Amounts.NONE;
+    private Amounts used = Amounts.NONE;
+    private Amounts foreign = Amounts.NONE;
+    private boolean accepting;
+
+    OwnedWorker(String id)
+    {
+        this.id = id;
+    }
+
+    void update(long newEpoch, Amounts newCapacity, Amounts newForeign, boolean newAccepting)
+    {
+        epoch = newEpoch;
+        capacity = newCapacity;
+        foreign = newForeign;
+        accepting = newAccepting;
+    }
+
+    void take(Placement placement)
+    {
+        running.put(placement.demand().task(), placement);
+        used = used.plus(placement.demand().needs());
+    }
+
+    /** Frees what a placement held here; false where it is not held, as after a change of owner. */
+    boolean release(Placement placement)
+    {
+        if (!running.remove(placement.demand().task(), placement))
+        {
+            return false;
+        }
+        used = used.minus(placement.demand().needs());
+        return true;
+    }
+
+    Amounts free()
+    {
+        return capacity.minusAtMost(used).minusAtMost(foreign);
+    }
+
+    String id()
+    {
+        return id;
+    }
+
+    long epoch()
+    {
+        return epoch;
+    }
+
+    Amounts capacity()
+    {
+        return capacity;
+    }
+
+    boolean accepting()
+    {
+        return accepting;
+    }
+
+    void setAccepting(boolean value)
+    {
+        accepting = value;
+    }
+
+    int running()
+    {
+        return running.size();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
@@ -0,0 +1,468 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
+
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TaskClass;
+
+/**
+ * Decides where each task runs and when it waits, over the workers that this box owns. It alone
+ * counts what they have free; usage reports are never taken for room. Thread-safe.
+ */
+public final class PlacementEngine
+{
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Map<String, OwnedWorker> workers = new TreeMap<>();
+    private final WorkerIndex index = new WorkerIndex();
+    private final WaitingQueue queue = new WaitingQueue();
+    private final Map<String, Integer> runningByTeam = new HashMap<>();
+    private final EngineLimits limits;
+    private final LongSupplier nanoTime;
+    private PolicyBook policies;
+    private int batchSlots;
+    private long sequence;
+
+    /**
+     * @param limits
+     *            queue limits and shares
+     * @param policies
+     *            which policy governs which class
+     * @param nanoTime
+     *            a monotonic clock
+     */
+    public PlacementEngine(EngineLimits limits, PolicyBook policies, LongSupplier nanoTime)
+    {
+        this.limits = limits;
+        this.policies = policies;
+        this.nanoTime = nanoTime;
+    }
+
+    /**
+     * Swaps the policies. Waiting tasks are decided by the new ones from now on; none is lost or
+     * reordered.
+     *
+     * @param book
+     *            the new policies
+     */
+    public void usePolicies(PolicyBook book)
+    {
+        lock.lock();
+        try
+        {
+            policies = book;
+            serveWaiting();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Adds a worker that this box owns now, or changes it.
+     *
+     * @param worker
+     *            its id
+     * @param epoch
+     *            the epoch of the ownership
+     * @param capacity
+     *            what it holds
+     * @param foreign
+     *            what still runs there that this box did not start
+     * @param accepting
+     *            whether it may get new work
+     */
+    public void putWorker(String worker, long epoch, Amounts capacity, Amounts foreign, boolean accepting)
+    {
+        lock.lock();
+        try
+        {
+            OwnedWorker owned = workers.computeIfAbsent(worker, OwnedWorker::new);
+            owned.update(epoch, capacity, foreign, accepting);
+            reindex(owned);
+            serveWaiting();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Stops or resumes new work for a worker; unknown ones are ignored.
+     *
+     * @param worker
+     *            its id
+     * @param accepting
+     *            whether it may get new work
+     */
+    public void setAccepting(String worker, boolean accepting)
+    {
+        lock.lock();
+        try
+        {
+            OwnedWorker owned = workers.get(worker);
+            if (owned != null && owned.accepting() != accepting)
+            {
+                owned.setAccepting(accepting);
+                reindex(owned);
+                serveWaiting();
+            }
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Forgets a worker that this box no longer owns. What it started there is still released later.
+     *
+     * @param worker
+     *            its id
+     */
+    public void removeWorker(String worker)
+    {
+        lock.lock();
+        try
+        {
+            workers.remove(worker);
+            index.remove(worker);
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Places a task now or not at all, behind those that wait already.
+     *
+     * @param demand
+     *            the task
+     * @return the decision, or empty where there is no room
+     * @throws GaugehollowException
+     *             with {@link ResultCode#QUOTA_EXCEEDED} if the team's quota is used up
+     */
+    public Optional<Placement> tryPlace(TaskDemand demand)
+    {
+        lock.lock();
+        try
+        {
+            return decide(demand, 0);
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Places a task, waiting for room until the given time.
+     *
+     * @param demand
+     *            the task
+     * @param untilNanos
+     *            when to give up, on the engine's clock
+     * @return the decision
+     * @throws InterruptedException
+     *             if the process stops
+     * @throws GaugehollowException
+     *             with {@code NO_ROOM}, {@code QUEUE_FULL} or {@code PREEMPTED}
+     */
+    public Placement place(TaskDemand demand, long untilNanos) throws InterruptedException
+    {
+        Waiter waiter;
+        lock.lock();
+        try
+        {
+            Optional<Placement> now = decide(demand, 0);
+            if (now.isPresent())
+            {
+                return now.get();
+            }
+            waiter = enqueue(demand);
+        }
+        finally
+        {
+            lock.unlock();
+        }
+        return await(waiter, untilNanos);
+    }
+
+    /**
+     * Frees what a task held.
+     *
+     * @param placement
+     *            the decision that placed it
+     */
+    public void release(Placement placement)
+    {
+        lock.lock();
+        try
+        {
+            TaskDemand demand = placement.demand();
+            runningByTeam.computeIfPresent(demand.team(), (team, count) -> count > 1 ? count - 1 : null);
+            if (demand.taskClass() == TaskClass.BATCH)
+            {
+                batchSlots -= demand.needs().slots();
+            }
+            OwnedWorker owned = workers.get(placement.worker());
+            if (owned != null && owned.release(placement))
+            {
+                reindex(owned);
+            }
+            serveWaiting();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /** @return what all accepting workers have free together */
+    public Amounts free()
+    {
+        lock.lock();
+        try
+        {
+            Amounts sum = Amounts.NONE;
+            for (WorkerIndex.State state : index.workers().values())
+            {
+                sum = sum.plus(state.free());
+            }
+            return sum;
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /** @return what all owned workers hold together */
+    public Amounts capacity()
+    {
+        lock.lock();
+        try
+        {
+            return totalCapacity();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /** @return how many tasks wait */
+    public int waiting()
+    {
+        lock.lock();
+        try
+        {
+            return queue.size();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * @param worker
+     *            a worker's id
+     * @return how many tasks of this box run there
+     */
+    public int runningOn(String worker)
+    {
+        lock.lock();
+        try
+        {
+            OwnedWorker owned = workers.get(worker);
+            return owned == null ? 0 : owned.running();
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    private Placement await(Waiter waiter, long untilNanos) throws InterruptedException
+    {
+        try
+        {
+            long wait = Math.max(0, untilNanos - nanoTime.getAsLong());
+            return waiter.decision().get(wait, TimeUnit.NANOSECONDS);
+        }
+        catch (TimeoutException e)
+        {
+            return withdraw(waiter);
+        }
+        catch (InterruptedException e)
+        {
+            giveBack(waiter);
+            throw e;
+        }
+        catch (ExecutionException | CancellationException e)
+        {
+            throw new GaugehollowException(ResultCode.PREEMPTED, "a more urgent task took the waiting place",
+                    e);
+        }
+    }
+
+    private Placement withdraw(Waiter waiter)
+    {
+        lock.lock();
+        try
+        {
+            if (queue.remove(waiter))
+            {
+                throw new GaugehollowException(ResultCode.NO_ROOM, "no worker had room in time");
+            }
+        }
+        finally
+        {
+            lock.unlock();
+        }
+        if (waiter.decision().isCompletedExceptionally())
+        {
+            throw new GaugehollowException(ResultCode.PREEMPTED, "a more urgent task took the waiting place");
+        }
+        return waiter.decision().join();
+    }
+
+    private void giveBack(Waiter waiter)
+    {
+        lock.lock();
+        try
+        {
+            if (!queue.remove(waiter) && !waiter.decision().isCompletedExceptionally())
+            {
+                release(waiter.decision().join());
+            }
+        }
+        finally
+        {
+            lock.unlock();
+        }
+    }
+
+    private Waiter enqueue(TaskDemand demand)
+    {
+        if (queue.size(demand.taskClass()) >= limits.waitingOf(demand.taskClass()))
+        {
+            throw new GaugehollowException(ResultCode.QUEUE_FULL,
+                    "too many " + demand.taskClass().label() + " tasks wait already");
+        }
+        if (queue.size() >= limits.waitingInAll())
+        {
+            shedFor(demand);
+        }
+        Waiter waiter = new Waiter(demand, nanoTime.getAsLong(), sequence++);
+        queue.add(waiter);
+        return waiter;
+    }
+
+    private void shedFor(TaskDemand demand)
+    {
+        Waiter shed = queue.leastUrgentBelow(demand.taskClass()).orElseThrow(
+                () -> new GaugehollowException(ResultCode.QUEUE_FULL, "too many tasks wait already"));
+        queue.remove(shed);
+        shed.decision().cancel(false);
+    }
+
+    private void serveWaiting()
+    {
+        boolean placedOne = true;
+        while (placedOne && queue.size() > 0)
+        {
+            placedOne = false;
+            for (Waiter waiter : queue.heads())
+            {
+                Optional<Placement> placement = decide(waiter.demand(), waiter.since());
+                if (placement.isPresent())
+                {
+                    queue.removeServed(waiter);
+                    waiter.decision().complete(placement.get());
+                    placedOne = true;
+                    break;
+                }
+            }
+        }
+    }
+
+    private Optional<Placement> decide(TaskDemand demand, long waitingSince)
+    {
+        if (!withinShares(demand))
+        {
+            return Optional.empty();
+        }
+        PolicyBook.Named policy = policies.policyFor(demand.taskClass(), demand.task());
+        Optional<String> chosen = policy.policy().choose(index, demand.needs());
+        if (chosen.isEmpty())
+        {
+            return Optional.empty();
+        }
+        OwnedWorker owned = workers.get(chosen.get());
+        long waited = waitingSince == 0 ? 0 : nanoTime.getAsLong() - waitingSince;
+        Placement placement = new Placement(demand, owned.id(), owned.epoch(), policy.name(), waited);
+        owned.take(placement);
+        runningByTeam.merge(demand.team(), 1, Integer::sum);
+        if (demand.taskClass() == TaskClass.BATCH)
+        {
+            batchSlots += demand.needs().slots();
+        }
+        reindex(owned);
+        return Optional.of(placement);
+    }
+
+    private boolean withinShares(TaskDemand demand)
+    {
+        int running = runningByTeam.getOrDefault(demand.team(), 0);
+        if (demand.teamLimit() > 0 && running >= demand.teamLimit())
+        {
+            return false;
+        }
+        if (demand.taskClass() != TaskClass.BATCH)
+        {
+            return true;
+        }
+        return batchSlots + demand.needs().slots() <= totalCapacity().slots() * limits.batchShare();
+    }
+
+    private Amounts totalCapacity()
+    {
+        Amounts sum = Amounts.NONE;
+        for (OwnedWorker owned : workers.values())
+        {
+            sum = sum.plus(owned.capacity());
+        }
+        return sum;
+    }
+
+    private void reindex(OwnedWorker owned)
+    {
+        if (owned.accepting())
+        {
+            index.put(owned.id(), owned.capacity(), owned.free());
+        }
+        else
+        {
+            index.remove(owned.id());
+        }
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/RandomPolicy.java
@@ -0,0 +1,38 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.gaugehollow.model.Amounts;
+
+/** A baseline: any worker with room, at random. */
+public final class RandomPolicy implements PlacementPolicy
+{
+    private final UniformRandomProvider random;
+
+    /**
+     * @param seed
+     *            the seed of the choices
+     */
+    public RandomPolicy(long seed)
+    {
+        random = RandomSource.XO_SHI_RO_128_PP.create(seed);
+    }
+
+    @Override
+    public Optional<String> choose(WorkerIndex index, Amounts demand)
+    {
+        List<String> fitting = index.workers().entrySet().stream()
+                .filter(e -> e.getValue().free().fits(demand)).map(Map.Entry::getKey).toList();
+        return fitting.isEmpty()
+                ? Optional.empty()
+                : Optional.of(fitting.get(random.nextInt(fitting.size())));
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/RoundRobinPolicy.java
@@ -0,0 +1,33 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+
+import org.gaugehollow.model.Amounts;
+
+/** A baseline: the next worker with room after the one taken last. */
+public final class RoundRobinPolicy implements PlacementPolicy
+{
+    private String last = "";
+
+    @Override
+    public Optional<String> choose(WorkerIndex index, Amounts demand)
+    {
+        NavigableMap<String, WorkerIndex.State> workers = index.workers();
+        Optional<String> found = firstFit(workers.tailMap(last, false), demand)
+                .or(() -> firstFit(workers.headMap(last, true), demand));
+        found.ifPresent(worker -> last = worker);
+        return found;
+    }
+
+    static Optional<String> firstFit(Map<String, WorkerIndex.State> workers, Amounts demand)
+    {
+        return workers.entrySet().stream().filter(e -> e.getValue().free().fits(demand))
+                .map(Map.Entry::getKey).findFirst();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/ScoredPolicy.java
@@ -0,0 +1,50 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.Optional;
+
+import org.gaugehollow.model.Amounts;
+
+/** A policy that takes the worker with the lowest score, and of equals the first by id. */
+public final class ScoredPolicy implements PlacementPolicy
+{
+    private final WorkerScore score;
+
+    /**
+     * @param score
+     *            how a worker is rated
+     */
+    public ScoredPolicy(WorkerScore score)
+    {
+        this.score = score;
+    }
+
+    @Override
+    public Optional<String> choose(WorkerIndex index, Amounts demand)
+    {
+        String best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (WorkerIndex.State state : index.states())
+        {
+            if (!state.free().fits(demand))
+            {
+                continue;
+            }
+            double rated = score.score(state.capacity(), state.free(), demand);
+            if (best == null || rated < bestScore)
+            {
+                bestScore = rated;
+                best = index.firstOf(state);
+            }
+            else if (rated == bestScore)
+            {
+                String other = index.firstOf(state);
+                best = other.compareTo(best) < 0 ? other : best;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/Waiter.java
@@ -0,0 +1,45 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.concurrent.CompletableFuture;
+
+/** A task that waits for room. */
+final class Waiter
+{
+    private final TaskDemand demand;
+    private final long since;
+    private final long sequence;
+    private final CompletableFuture<Placement> decision = new CompletableFuture<>();
+
+    Waiter(TaskDemand demand, long since, long sequence)
+    {
+        this.demand = demand;
+        this.since = since;
+        this.sequence = sequence;
+    }
+
+    TaskDemand demand()
+    {
+        return demand;
+    }
+
+    long since()
+    {
+        return since;
+    }
+
+    CompletableFuture<Placement> decision()
+    {
+        return decision;
+    }
+
+    /** Earliest deadline first, then first come. */
+    static int byDeadline(Waiter a, Waiter b)
+    {
+        int order = Long.compare(a.demand.deadlineNanos() - b.demand.deadlineNanos(), 0);
+        return order != 0 ? order : Long.compare(a.sequence, b.sequence);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/WaitingFirstScore.java
@@ -0,0 +1,33 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import org.gaugehollow.model.Amounts;
+
+/**
+ * Rates the least loaded worker best, for work whose waiting time counts most. Load is the fullest
+ * of slots, processors and memory after the task was placed.
+ *
+ * @param acceleratorReserve
+ *            how much load is added for a worker with accelerators when the task needs none
+ */
+public record WaitingFirstScore(double acceleratorReserve) implements WorkerScore
+{
+    @Override
+    public double score(Amounts capacity, Amounts free, Amounts demand)
+    {
+        double slots = used(capacity.slots(), free.slots(), demand.slots());
+        double cpu = used(capacity.cpuMillis(), free.cpuMillis(), demand.cpuMillis());
+        double memory = used(capacity.memoryMib(), free.memoryMib(), demand.memoryMib());
+        double load = Math.max(slots, Math.max(cpu, memory));
+        boolean reserved = demand.accelerators() == 0 && free.accelerators() > 0;
+        return reserved ? load + acceleratorReserve : load;
+    }
+
+    private static double used(int capacity, int free, int demand)
+    {
+        return capacity == 0 ? 0 : (capacity - free + demand) / (double) capacity;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/EtcdStore.java
@@ -0,0 +1,254 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpCaller;
+import org.gaugehollow.net.HttpConnection;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+
+/** The platform's service by the etcd v3 protocol in its published JSON form over HTTP. */
+public final class EtcdStore implements PlatformStore
+{
+    private static final int OK = 200;
+
+    private final HttpCaller caller;
+    private final StoreBudget budget;
+    private final Metrics metrics;
+    private final int timeoutMillis;
+
+    /**
+     * @param caller
+     *            reaches the service
+     * @param budget
+     *            this box's share of calls
+     * @param metrics
+     *            counts the calls
+     * @param timeoutMillis
+     *            how long one call may take
+     */
+    public EtcdStore(HttpCaller caller, StoreBudget budget, Metrics metrics, int timeoutMillis)
+    {
+        this.caller = caller;
+        this.budget = budget;
+        this.metrics = metrics;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    @Override
+    public Optional<StoredValue> get(String key) throws InterruptedException
+    {
+        JsonNode answer = call("read", "/v3/kv/range", object().put("key", encode(key)));
+        List<StoredValue> values = valuesOf(answer);
+        return values.isEmpty() ? Optional.empty() : Optional.of(values.getFirst());
+    }
+
+    @Override
+    public StoreListing list(String prefix) throws InterruptedException
+    {
+        ObjectNode request = object().put("key", encode(prefix)).put("range_end", encode(endOf(prefix)));
+        JsonNode answer = call("read", "/v3/kv/range", request);
+        return new StoreListing(answer.path("header").path("revision").asLong(), valuesOf(answer));
+    }
+
+    @Override
+    public Optional<Long> commit(StoreTransaction transaction) throws InterruptedException
+    {
+        ObjectNode request = object();
+        ArrayNode compare = request.putArray("compare");
+        for (StoreTransaction.Condition condition : transaction.conditions())
+        {
+            compare.addObject().put("key", encode(condition.key())).put("target", "MOD")
+                    .put("result", "EQUAL").put("mod_revision", Long.toString(condition.modRevision()));
+        }
+        ArrayNode success = request.putArray("success");
+        for (StoreTransaction.Write write : transaction.writes())
+        {
+            addWrite(success.addObject(), write);
+        }
+        JsonNode answer = call("write", "/v3/kv/txn", request);
+        boolean applied = answer.path("succeeded").asBoolean(false);
+        return applied ? Optional.of(answer.path("header").path("revision").asLong()) : Optional.empty();
+    }
+
+    private static void addWrite(ObjectNode operation, StoreTransaction.Write write)
+    {
+        if (write.value() == null)
+        {
+            operation.putObject("request_delete_range").put("key", encode(write.key()));
+            return;
+        }
+        ObjectNode put = operation.putObject("request_put").put("key", encode(write.key())).put("value",
+                Base64.getEncoder().encodeToString(write.value()));
+        if (write.lease() != 0)
+        {
+            put.put("lease", Long.toString(write.lease()));
+        }
+    }
+
+    @Override
+    public long grantLease(int seconds) throws InterruptedException
+    {
+        JsonNode answer = call("lease", "/v3/lease/grant", object().put("TTL", Integer.toString(seconds)));
+        long id = answer.path("ID").asLong();
+        if (id == 0)
+        {
+            throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER, "a lease without an id");
+        }
+        return id;
+    }
+
+    @Override
+    public boolean renewLease(long lease) throws InterruptedException
+    {
+        JsonNode answer = call("lease", "/v3/lease/keepalive", object().put("ID", Long.toString(lease)));
+        return answer.path("result").path("TTL").asLong() > 0;
+    }
+
+    @Override
+    public void revokeLease(long lease) throws InterruptedException
+    {
+        call("lease", "/v3/lease/revoke", object().put("ID", Long.toString(lease)));
+    }
+
+    @Override
+    public StoreWatch watch(String prefix, long fromRevision) throws InterruptedException
+    {
+        budget.take();
+        ObjectNode request = object();
+        request.putObject("create_request").put("key", encode(prefix)).put("range_end", encode(endOf(prefix)))
+                .put("start_revision", Long.toString(fromRevision));
+        HttpConnection connection = open();
+        HttpMessage message = new HttpMessage("POST", "/v3/watch", "", new DefaultHttpHeaders(),
+                Json.write(request));
+        HttpReply head = connection.openStream(message, deadline());
+        metrics.storeCalls().labelValues("watch", head.status() == OK ? "ok" : "refused").inc();
+        if (head.status() != OK)
+        {
+            connection.close();
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE,
+                    "the watch was refused: " + head.status());
+        }
+        return new EtcdWatch(connection);
+    }
+
+    private HttpConnection open() throws InterruptedException
+    {
+        try
+        {
+            return caller.openOwn(timeoutMillis);
+        }
+        catch (GaugehollowException e)
+        {
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE, e.getMessage(), e);
+        }
+    }
+
+    private JsonNode call(String kind, String path, ObjectNode request) throws InterruptedException
+    {
+        budget.take();
+        HttpReply reply;
+        try
+        {
+            reply = caller.call("POST", path, Json.write(request), timeoutMillis);
+        }
+        catch (GaugehollowException e)
+        {
+            metrics.storeCalls().labelValues(kind, "failed").inc();
+            throw new GaugehollowException(codeOfFailure(kind, e.code()), e.getMessage(), e);
+        }
+        metrics.storeCalls().labelValues(kind, reply.status() == OK ? "ok" : "refused").inc();
+        if (reply.status() != OK)
+        {
+            throw new GaugehollowException(codeOfStatus(reply.status()),
+                    "the store answered " + reply.status());
+        }
+        return Json.read(reply.body(), JsonNode.class, ResultCode.STORE_BAD_ANSWER);
+    }
+
+    /**
+     * A write whose request left this box may have been applied; only one that could not be sent was
+     * surely not.
+     */
+    private static ResultCode codeOfFailure(String kind, ResultCode cause)
+    {
+        boolean notSent = cause == ResultCode.UPSTREAM_REFUSED;
+        return notSent || "read".equals(kind)
+                ? ResultCode.STORE_UNAVAILABLE
+                : ResultCode.STORE_OUTCOME_UNKNOWN;
+    }
+
+    private static ResultCode codeOfStatus(int status)
+    {
+        int tooMany = ResultCode.QUOTA_EXCEEDED.httpStatus();
+        return status == tooMany ? ResultCode.STORE_UNAVAILABLE : ResultCode.STORE_OUTCOME_UNKNOWN;
+    }
+
+    private long deadline()
+    {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    }
+
+    private static List<StoredValue> valuesOf(JsonNode answer)
+    {
+        List<StoredValue> values = new ArrayList<>();
+        for (JsonNode kv : answer.path("kvs"))
+        {
+            values.add(new StoredValue(decodeText(kv.path("key").asText()), decode(kv.path("value").asText()),
+                    kv.path("mod_revision").asLong()));
+        }
+        return values;
+    }
+
+    private static ObjectNode object()
+    {
+        return Json.mapper().createObjectNode();
+    }
+
+    private static String encode(String text)
+    {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static byte[] decode(String base64)
+    {
+        return Base64.getDecoder().decode(base64);
+    }
+
+    static String decodeText(String base64)
+    {
+        return new String(decode(base64), StandardCharsets.UTF_8);
+    }
+
+    /** The first key after all that start with the prefix; prefixes end in an ASCII character. */
+    private static String endOf(String prefix)
+    {
+        int last = prefix.length() - 1;
+        return prefix.substring(0, last) + (char) (prefix.charAt(last) + 1);
+    }
+
+    @Override
+    public void close()
+    {
+        caller.close();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/StoreChange.java
@@ -0,0 +1,21 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.platform;
+
+/**
+ * A change that a watch reports.
+ *
+ * @param key
+ *            the key
+ * @param value
+ *            the new bytes; empty for a deletion
+ * @param revision
+ *            the store's revision of the change
+ * @param deleted
+ *            whether the key was removed
+ */
+public record StoreChange(String key, byte[] value, long revision, boolean deleted)
+{
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
@@ -0,0 +1,205 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.upstream;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpCaller;
+import org.gaugehollow.net.HttpConnection;
+import org.gaugehollow.net.HttpConnectionPool;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.net.NetLoops;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * The requests of this box to one upstream. Each connection carries one request at a time; one
+ * whose answer did not come whole, in time and under the right task id is closed. Thread-safe.
+ */
+public final class UpstreamClient implements AutoCloseable
+{
+    /** The largest answer passed on. */
+    public static final int LARGEST_ANSWER = 1 << 20;
+    private static final int MOST_IDLE = 60;
+    private static final int CONNECT_MILLIS = 500;
+    private static final int CONTROL_MILLIS = 1_000;
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+
+    private final String worker;
+    private final EventLog events;
+    private final HttpCaller control;
+    private final HttpConnectionPool connections;
+
+    /**
+     * @param loops
+     *            the event loops
+     * @param worker
+     *            the upstream's id
+     * @param target
+     *            its address
+     * @param events
+     *            where dropped answers are recorded
+     */
+    public UpstreamClient(NetLoops loops, String worker, InetSocketAddress target, EventLog events)
+    {
+        this.worker = worker;
+        this.events = events;
+        this.control = new HttpCaller(loops, target);
+        this.connections = new HttpConnectionPool(loops, target, MOST_IDLE);
+    }
+
+    /** @return the upstream's address */
+    public InetSocketAddress target()
+    {
+        return connections.target();
+    }
+
+    /**
+     * Runs a request and waits for its whole answer.
+     *
+     * @param request
+     *            the request
+     * @param epoch
+     *            the fencing token
+     * @param deadlineNanos
+     *            when to give up, on {@link System#nanoTime}
+     * @return the upstream's answer
+     * @throws InterruptedException
+     *             if the process stops
+     * @throws GaugehollowException
+     *             with a code whose outcome says whether the request may have run
+     */
+    public HttpReply run(UpstreamRequest request, long epoch, long deadlineNanos) throws InterruptedException
+    {
+        HttpConnection connection = connections.take(connectMillis(deadlineNanos));
+        boolean keep = false;
+        try
+        {
+            HttpReply reply = connection.exchange(messageOf(request, epoch), deadlineNanos, LARGEST_ANSWER);
+            keep = checkTask(request, reply);
+            checkRan(reply);
+            return reply;
+        }
+        finally
+        {
+            connections.giveBack(connection, keep);
+        }
+    }
+
+    /**
+     * Takes the upstream for a new owner: from now on it refuses older ones, if it can.
+     *
+     * @param claim
+     *            the new owner and its epoch
+     * @return what runs there
+     * @throws InterruptedException
+     *             if the process stops
+     * @throws GaugehollowException
+     *             if it does not answer, or {@code FENCED} if it has a newer owner
+     */
+    public UpstreamReport claim(UpstreamClaim claim) throws InterruptedException
+    {
+        HttpReply reply = control.call("POST", "/gaugehollow/claim", Json.write(claim), CONTROL_MILLIS);
+        if (reply.status() == CONFLICT)
+        {
+            throw new GaugehollowException(ResultCode.FENCED, worker + " has a newer owner");
+        }
+        return reportOf(reply);
+    }
+
+    /**
+     * Asks what runs there.
+     *
+     * @return what runs there
+     * @throws InterruptedException
+     *             if the process stops
+     * @throws GaugehollowException
+     *             if it does not answer
+     */
+    public UpstreamReport report() throws InterruptedException
+    {
+        return reportOf(control.call("GET", "/gaugehollow/tasks", new byte[0], CONTROL_MILLIS));
+    }
+
+    private UpstreamReport reportOf(HttpReply reply)
+    {
+        if (reply.status() != OK)
+        {
+            throw new GaugehollowException(ResultCode.UPSTREAM_REFUSED,
+                    worker + " answered " + reply.status());
+        }
+        return Json.read(reply.body(), UpstreamReport.class, ResultCode.UPSTREAM_REFUSED);
+    }
+
+    private static HttpMessage messageOf(UpstreamRequest request, long epoch)
+    {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(UpstreamHeaders.TASK, request.task());
+        headers.set(UpstreamHeaders.EPOCH, epoch);
+        headers.set(UpstreamHeaders.TEAM, request.team());
+        headers.set(UpstreamHeaders.NEEDS, needsText(request.needs()));
+        headers.set(HttpHeaderNames.CONTENT_TYPE, request.contentType());
+        if (!request.key().isEmpty())
+        {
+            headers.set(UpstreamHeaders.KEY, request.key());
+        }
+        return new HttpMessage("POST", request.path(), "", headers, request.body());
+    }
+
+    private static String needsText(Amounts needs)
+    {
+        return "slots=" + needs.slots() + ";cpuMillis=" + needs.cpuMillis() + ";memoryMib="
+                + needs.memoryMib() + ";accelerators=" + needs.accelerators();
+    }
+
+    /**
+     * Returns whether the connection may be used again: only if the upstream names the task it answers.
+     */
+    private boolean checkTask(UpstreamRequest request, HttpReply reply)
+    {
+        String answered = reply.headers().get(UpstreamHeaders.TASK);
+        if (answered != null && !answered.equals(request.task()))
+        {
+            events.record(EventType.LATE_ANSWER_DROPPED, request.task(), "the answer was for " + answered);
+            throw new GaugehollowException(ResultCode.OUTCOME_UNKNOWN,
+                    "the answer belonged to another request");
+        }
+        return answered != null;
+    }
+
+    private void checkRan(HttpReply reply)
+    {
+        String reason = reply.headers().get(UpstreamHeaders.NOT_RUN);
+        if (reason != null && reply.status() != OK)
+        {
+            ResultCode code = "fenced".equals(reason) ? ResultCode.FENCED : ResultCode.UPSTREAM_REFUSED;
+            throw new GaugehollowException(code, worker + " did not run it: " + reason);
+        }
+    }
+
+    private static int connectMillis(long deadlineNanos)
+    {
+        long left = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        return (int) Math.clamp(left, 1, CONNECT_MILLIS);
+    }
+
+    @Override
+    public void close()
+    {
+        connections.close();
+        control.close();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamHealth.java
@@ -0,0 +1,82 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.upstream;
+
+/**
+ * Whether an upstream gets work, by its own evidence. One refused connection or some failures in a
+ * row take it out; answered probes let it back, with one slot first and twice as many after each.
+ * Thread-safe.
+ */
+public final class UpstreamHealth
+{
+    private static final int FAILURES_OUT = 3;
+
+    private final int allSlots;
+    private int failures;
+    private int allowedSlots;
+
+    /**
+     * @param allSlots
+     *            how many slots the upstream has
+     */
+    public UpstreamHealth(int allSlots)
+    {
+        this.allSlots = allSlots;
+        this.allowedSlots = allSlots;
+    }
+
+    /** A request was answered whole. */
+    public synchronized void answered()
+    {
+        failures = 0;
+    }
+
+    /**
+     * A request failed on the upstream.
+     *
+     * @return whether this took the upstream out
+     */
+    public synchronized boolean failed()
+    {
+        failures++;
+        return failures >= FAILURES_OUT && takeOut();
+    }
+
+    /**
+     * The upstream cannot be connected to.
+     *
+     * @return whether this took the upstream out
+     */
+    public synchronized boolean unreachable()
+    {
+        return takeOut();
+    }
+
+    private boolean takeOut()
+    {
+        boolean wasIn = allowedSlots > 0;
+        allowedSlots = 0;
+        failures = 0;
+        return wasIn;
+    }
+
+    /**
+     * The upstream answered a probe.
+     *
+     * @return whether it was out and is let back with this
+     */
+    public synchronized boolean probed()
+    {
+        boolean wasOut = allowedSlots == 0;
+        allowedSlots = wasOut ? 1 : Math.min(allSlots, allowedSlots * 2);
+        return wasOut;
+    }
+
+    /** @return how many slots may be used now; 0 where the upstream is out */
+    public synchronized int allowedSlots()
+    {
+        return allowedSlots;
+    }
+}
