--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/Command.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/Command.java
@@ -16,11 +16,9 @@
     /**
      * Does the work.
      *
-     * @param console
-     *            where results and progress are shown
+     * @param console where results and progress are shown
      * @return the exit code
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     ExitCode run(Console console) throws InterruptedException;
 }
--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/LoadMix.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/LoadMix.java
@@ -11,24 +11,18 @@
 /**
  * A mix of requests for the load tool, read from a JSON file.
  *
- * @param requests
- *            the kinds of requests
+ * @param requests the kinds of requests
  */
 record LoadMix(List<Part> requests)
 {
     /**
      * One kind of request.
      *
-     * @param workload
-     *            the workload
-     * @param team
-     *            the team
-     * @param weight
-     *            how often it comes, relative to the others
-     * @param millis
-     *            how long it runs on the stand-in
-     * @param keyed
-     *            whether each carries a new key
+     * @param workload the workload
+     * @param team the team
+     * @param weight how often it comes, relative to the others
+     * @param millis how long it runs on the stand-in
+     * @param keyed whether each carries a new key
      */
     record Part(String workload, String team, int weight, int millis, boolean keyed)
     {
--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/Main.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/Main.java
@@ -45,10 +45,8 @@
     /**
      * Runs one subcommand.
      *
-     * @param args
-     *            the words of the command line
-     * @throws InterruptedException
-     *             if the process stops
+     * @param args the words of the command line
+     * @throws InterruptedException if the process stops
      */
     public static void main(String[] args) throws InterruptedException
     {
--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/OutputOptions.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/OutputOptions.java
@@ -12,7 +12,8 @@
     /** The forms of output. */
     enum Form
     {
-        TEXT, JSON
+        TEXT,
+        JSON
     }
 
     @Parameter(names = "--output", description = "text for people, json for programs")
--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/ResourceFile.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/ResourceFile.java
@@ -20,12 +20,9 @@
 /**
  * A resource as files hold it.
  *
- * @param kind
- *            the kind's plural, such as {@code workloads}
- * @param name
- *            its name
- * @param spec
- *            its content
+ * @param kind the kind's plural, such as {@code workloads}
+ * @param name its name
+ * @param spec its content
  */
 record ResourceFile(String kind, String name, JsonNode spec)
 {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/PlatformStandin.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/PlatformStandin.java
@@ -64,12 +64,9 @@
     /**
      * Starts to listen.
      *
-     * @param loops
-     *            the event loops
-     * @param address
-     *            where to listen
-     * @param rosterLagMillis
-     *            how much the list lags
+     * @param loops the event loops
+     * @param address where to listen
+     * @param rosterLagMillis how much the list lags
      */
     public PlatformStandin(NetLoops loops, InetSocketAddress address, long rosterLagMillis)
     {
@@ -86,8 +83,7 @@
     }
 
     /**
-     * @param next
-     *            how it behaves from now on
+     * @param next how it behaves from now on
      */
     public void use(PlatformSwitches next)
     {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/StandinStore.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/StandinStore.java
@@ -41,8 +41,7 @@
     private long lastLease = 1_000;
 
     /**
-     * @param nanoTime
-     *            a monotonic clock
+     * @param nanoTime a monotonic clock
      */
     public StandinStore(LongSupplier nanoTime)
     {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/SwitchableHop.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/SwitchableHop.java
@@ -31,12 +31,9 @@
     /**
      * Starts to listen.
      *
-     * @param listen
-     *            where to listen; port 0 takes a free one
-     * @param target
-     *            where bytes are passed on to
-     * @throws IOException
-     *             if the address is taken
+     * @param listen where to listen; port 0 takes a free one
+     * @param target where bytes are passed on to
+     * @throws IOException if the address is taken
      */
     public SwitchableHop(InetSocketAddress listen, InetSocketAddress target) throws IOException
     {
@@ -54,8 +51,7 @@
     }
 
     /**
-     * @param sources
-     *            the source addresses that are cut off from now on
+     * @param sources the source addresses that are cut off from now on
      */
     public void cutOff(Predicate<InetAddress> sources)
     {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/TaskBehaviour.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/TaskBehaviour.java
@@ -12,13 +12,10 @@
  * What a request asks of the worker's stand-in, as its JSON body. Any other body runs for no time
  * and is sent back.
  *
- * @param millis
- *            how long the task runs
- * @param echo
- *            sent back
- * @param behave
- *            {@code cut} ends the connection in the middle of the answer, {@code drop} before it,
- *            {@code twice} sends the answer two times, {@code unnamed} leaves the task id out,
+ * @param millis how long the task runs
+ * @param echo sent back
+ * @param behave {@code cut} ends the connection in the middle of the answer, {@code drop} before
+ *            it, {@code twice} sends the answer two times, {@code unnamed} leaves the task id out,
  *            {@code wrong-task} names another task
  */
 public record TaskBehaviour(int millis, String echo, String behave)
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerRecords.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerRecords.java
@@ -9,14 +9,10 @@
 /**
  * What a worker's stand-in recorded.
  *
- * @param worker
- *            its id
- * @param starts
- *            every run, in the order of their starts
- * @param refused
- *            how many starts it refused
- * @param overloads
- *            how often what ran together was more than it holds
+ * @param worker its id
+ * @param starts every run, in the order of their starts
+ * @param refused how many starts it refused
+ * @param overloads how often what ran together was more than it holds
  */
 public record WorkerRecords(String worker, List<StartRecord> starts, int refused, int overloads)
 {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerStandin.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerStandin.java
@@ -49,12 +49,9 @@
     /**
      * Starts to listen.
      *
-     * @param loops
-     *            the event loops
-     * @param address
-     *            where to listen
-     * @param options
-     *            what the worker is
+     * @param loops the event loops
+     * @param address where to listen
+     * @param options what the worker is
      */
     public WorkerStandin(NetLoops loops, InetSocketAddress address, WorkerStandinOptions options)
     {
@@ -73,12 +70,9 @@
     /**
      * The line of the platform's list that describes this worker.
      *
-     * @param advertised
-     *            the address that boxes are to use
-     * @param state
-     *            {@code live} or {@code leaving}
-     * @param gone
-     *            whether the worker is to vanish from the list
+     * @param advertised the address that boxes are to use
+     * @param state {@code live} or {@code leaving}
+     * @param gone whether the worker is to vanish from the list
      * @return the line
      */
     public RosterLine rosterLine(String advertised, String state, boolean gone)
@@ -105,8 +99,7 @@
     /**
      * Waits until nothing runs.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public void drain() throws InterruptedException
     {
--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerStandinOptions.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/WorkerStandinOptions.java
@@ -9,16 +9,11 @@
 /**
  * What a worker's stand-in is.
  *
- * @param id
- *            its id
- * @param hall
- *            its hall
- * @param rack
- *            its rack
- * @param capacity
- *            what it holds
- * @param fencing
- *            whether it refuses starts of older owners
+ * @param id its id
+ * @param hall its hall
+ * @param rack its rack
+ * @param capacity what it holds
+ * @param fencing whether it refuses starts of older owners
  */
 public record WorkerStandinOptions(String id, String hall, String rack, Amounts capacity, boolean fencing)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/config/ActiveConfig.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/ActiveConfig.java
@@ -42,12 +42,9 @@
     /**
      * Reads the entries in force. An entry that cannot be read is reported and left out.
      *
-     * @param entries
-     *            the entries
-     * @param registry
-     *            makes the policies
-     * @param badEntry
-     *            told the name and the fault of each unreadable entry
+     * @param entries the entries
+     * @param registry makes the policies
+     * @param badEntry told the name and the fault of each unreadable entry
      */
     public ActiveConfig(Collection<ConfigEntry> entries, PolicyRegistry registry,
             BiConsumer<String, String> badEntry)
@@ -70,8 +67,7 @@
     }
 
     /**
-     * @param name
-     *            a workload's name
+     * @param name a workload's name
      * @return its content, if it is in force
      */
     public Optional<WorkloadSpec> workload(String name)
@@ -80,8 +76,7 @@
     }
 
     /**
-     * @param name
-     *            a team's name
+     * @param name a team's name
      * @return its content, if it is in force
      */
     public Optional<TeamSpec> team(String name)
@@ -98,13 +93,10 @@
     /**
      * Reads a resource's content strictly.
      *
-     * @param kind
-     *            its kind
-     * @param spec
-     *            its JSON
+     * @param kind its kind
+     * @param spec its JSON
      * @return the record
-     * @throws GaugehollowException
-     *             with {@link ResultCode#RESOURCE_INVALID}
+     * @throws GaugehollowException with {@link ResultCode#RESOURCE_INVALID}
      */
     public static Object parseSpec(ResourceKind kind, byte[] spec)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/config/ConfigDelta.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/ConfigDelta.java
@@ -11,12 +11,9 @@
 /**
  * What brings another box from its revision to this one.
  *
- * @param revision
- *            the revision it leads to
- * @param full
- *            whether the entries are the whole configuration, and not the changes in order
- * @param entries
- *            the entries
+ * @param revision the revision it leads to
+ * @param full whether the entries are the whole configuration, and not the changes in order
+ * @param entries the entries
  */
 public record ConfigDelta(long revision, boolean full, List<ConfigEntry> entries)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/config/ConfigKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/ConfigKeeper.java
@@ -40,8 +40,7 @@
     private long historyFloor;
 
     /**
-     * @param listener
-     *            is told of the entries that came into force, in order, under the keeper's lock
+     * @param listener is told of the entries that came into force, in order, under the keeper's lock
      */
     public void addListener(Consumer<List<ConfigEntry>> listener)
     {
@@ -65,8 +64,7 @@
     /**
      * Applies a delta from the store or from a peer; an older one changes nothing.
      *
-     * @param delta
-     *            the delta
+     * @param delta the delta
      */
     public void apply(ConfigDelta delta)
     {
@@ -90,8 +88,7 @@
     /**
      * Applies a change that this box made itself, ahead of the stream that will bring it again.
      *
-     * @param entry
-     *            the change
+     * @param entry the change
      */
     public void applyOwn(ConfigEntry entry)
     {
@@ -110,8 +107,7 @@
     }
 
     /**
-     * @param from
-     *            the revision that another box has
+     * @param from the revision that another box has
      * @return what brings it to this box's revision
      */
     public ConfigDelta since(long from)
@@ -135,13 +131,10 @@
     /**
      * Waits for changes after a revision.
      *
-     * @param from
-     *            the revision that the watcher has seen
-     * @param nanos
-     *            how long to wait
+     * @param from the revision that the watcher has seen
+     * @param nanos how long to wait
      * @return the changes in order; empty after the time; nothing at all if they are no longer held
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public Optional<List<ConfigEntry>> awaitAfter(long from, long nanos) throws InterruptedException
     {
@@ -162,8 +155,7 @@
     }
 
     /**
-     * @param name
-     *            a key below the configuration's prefix
+     * @param name a key below the configuration's prefix
      * @return its entry, if it is in force
      */
     public Optional<ConfigEntry> get(String name)
@@ -180,8 +172,7 @@
     }
 
     /**
-     * @param prefix
-     *            the start of keys
+     * @param prefix the start of keys
      * @return the entries in force whose keys start with it, in order
      */
     public List<ConfigEntry> list(String prefix)
--- a/gaugehollow/src/main/java/org/gaugehollow/config/ResourceStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/ResourceStore.java
@@ -36,10 +36,8 @@
     private final EventLog events;
 
     /**
-     * @param store
-     *            the platform's service
-     * @param events
-     *            where settled writes are recorded
+     * @param store the platform's service
+     * @param events where settled writes are recorded
      */
     public ResourceStore(PlatformStore store, EventLog events)
     {
@@ -50,18 +48,14 @@
     /**
      * Creates or changes a resource.
      *
-     * @param name
-     *            its key below the configuration's prefix
-     * @param expected
-     *            the revision it was read at; empty to create it
-     * @param spec
-     *            its new content
+     * @param name its key below the configuration's prefix
+     * @param expected the revision it was read at; empty to create it
+     * @param spec its new content
      * @return the entry that the store now holds
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             {@code REVISION_CONFLICT}, {@code RESOURCE_NOT_FOUND}, {@code STORE_UNAVAILABLE} if
-     *             nothing was changed, {@code STORE_OUTCOME_UNKNOWN} otherwise
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code REVISION_CONFLICT}, {@code RESOURCE_NOT_FOUND},
+     *             {@code STORE_UNAVAILABLE} if nothing was changed, {@code STORE_OUTCOME_UNKNOWN}
+     *             otherwise
      */
     public ConfigEntry put(String name, Optional<Long> expected, JsonNode spec) throws InterruptedException
     {
@@ -81,15 +75,11 @@
     /**
      * Removes a resource. The id of the write is kept beside it, so that a lost answer can be settled.
      *
-     * @param name
-     *            its key below the configuration's prefix
-     * @param expected
-     *            the revision it was read at
+     * @param name its key below the configuration's prefix
+     * @param expected the revision it was read at
      * @return the removal
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             as {@link #put}
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException as {@link #put}
      */
     public ConfigEntry delete(String name, long expected) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/config/StoreFollower.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/StoreFollower.java
@@ -35,14 +35,10 @@
     private final EventLog events;
 
     /**
-     * @param store
-     *            the platform's service
-     * @param keeper
-     *            what is fed
-     * @param isRelay
-     *            whether this box is to follow the store now
-     * @param events
-     *            where losses of the watch are recorded
+     * @param store the platform's service
+     * @param keeper what is fed
+     * @param isRelay whether this box is to follow the store now
+     * @param events where losses of the watch are recorded
      */
     public StoreFollower(PlatformStore store, ConfigKeeper keeper, BooleanSupplier isRelay, EventLog events)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/config/StoreKeys.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/StoreKeys.java
@@ -20,10 +20,8 @@
     }
 
     /**
-     * @param kind
-     *            a kind of resource
-     * @param name
-     *            a resource's name
+     * @param kind a kind of resource
+     * @param name a resource's name
      * @return its key below {@link #CONFIG}
      */
     public static String resource(ResourceKind kind, String name)
@@ -32,8 +30,7 @@
     }
 
     /**
-     * @param hall
-     *            a data hall
+     * @param hall a data hall
      * @return the key of its map, below {@link #CONFIG}
      */
     public static String hallMap(String hall)
@@ -42,8 +39,7 @@
     }
 
     /**
-     * @param name
-     *            a key below {@link #CONFIG}
+     * @param name a key below {@link #CONFIG}
      * @return whether it is a hall's map
      */
     public static boolean isHallMap(String name)
@@ -52,8 +48,7 @@
     }
 
     /**
-     * @param hall
-     *            a data hall
+     * @param hall a data hall
      * @return the start of the keys of its boxes
      */
     public static String members(String hall)
@@ -62,10 +57,8 @@
     }
 
     /**
-     * @param hall
-     *            a data hall
-     * @param box
-     *            a box's id
+     * @param hall a data hall
+     * @param box a box's id
      * @return the key that lives as long as the box's lease
      */
     public static String member(String hall, String box)
@@ -74,8 +67,7 @@
     }
 
     /**
-     * @param name
-     *            a key below {@link #CONFIG}
+     * @param name a key below {@link #CONFIG}
      * @return the key that holds the id of the write that removed it last
      */
     public static String removal(String name)
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/CallerApi.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/CallerApi.java
@@ -101,7 +101,8 @@
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeout);
         String task = box + '-' + Long.toString(lastTask.incrementAndGet(), RADIX);
         return new CallerRequest(task, team, workload, key, issuedAt(message, key), deadline,
-                message.header(HttpHeaderNames.CONTENT_TYPE.toString()).orElse(UNTYPED), message.body(), 0);
+                message.header(HttpHeaderNames.CONTENT_TYPE.toString()).orElse(UNTYPED), message.body(), 0,
+                number(message, UpstreamHeaders.ATTEMPT, 0) == 1);
     }
 
     private WorkloadSpec spec(String workload)
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/CallerRequest.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/CallerRequest.java
@@ -9,27 +9,20 @@
 /**
  * A caller's request on its way through the boxes.
  *
- * @param task
- *            its id
- * @param team
- *            the caller's team
- * @param workload
- *            the workload asked for
- * @param key
- *            its key, or empty
- * @param keyIssuedAt
- *            when the caller made the key, in milliseconds since 1970; 0 where it did not say
- * @param deadlineNanos
- *            when the caller stops waiting, on this box's monotonic clock
- * @param contentType
- *            the body's media type
- * @param body
- *            the body
- * @param hops
- *            how many boxes passed it on
+ * @param task its id
+ * @param team the caller's team
+ * @param workload the workload asked for
+ * @param key its key, or empty
+ * @param keyIssuedAt when the caller made the key, in milliseconds since 1970; 0 where it did not
+ *            say
+ * @param deadlineNanos when the caller stops waiting, on this box's monotonic clock
+ * @param contentType the body's media type
+ * @param body the body
+ * @param hops how many boxes passed it on
+ * @param firstAsk whether the caller says that it never sent the key before
  */
 record CallerRequest(String task, String team, String workload, String key, long keyIssuedAt,
-        long deadlineNanos, String contentType, byte[] body, int hops)
+        long deadlineNanos, String contentType, byte[] body, int hops, boolean firstAsk)
 {
     boolean hasKey()
     {
@@ -48,6 +41,7 @@
 
     CallerRequest withDeadline(long nanos)
     {
-        return new CallerRequest(task, team, workload, key, keyIssuedAt, nanos, contentType, body, hops);
+        return new CallerRequest(task, team, workload, key, keyIssuedAt, nanos, contentType, body, hops,
+                firstAsk);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
@@ -118,8 +118,7 @@
     /**
      * Starts a box that reaches the platform by its usual protocols.
      *
-     * @param settings
-     *            the checked settings
+     * @param settings the checked settings
      */
     public EntryBox(EntrySettings settings)
     {
@@ -381,8 +380,7 @@
      * Stops in a planned way: says that it is not ready, gives its workers and key slots to peers,
      * answers what is in flight, and leaves the map. Bounded by the settings' drain time.
      *
-     * @throws InterruptedException
-     *             if the stop itself is interrupted
+     * @throws InterruptedException if the stop itself is interrupted
      */
     public void stop() throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
@@ -61,7 +61,9 @@
         }
         catch (GaugehollowException e)
         {
-            return Answers.refused(e, request.task(), support.self().id());
+            boolean known = e.code() != ResultCode.KEY_MOVING;
+            return Answers.refused(e, request.task(), support.self().id()).toBuilder().setEvidence(known)
+                    .build();
         }
         if (ask.first())
         {
@@ -77,9 +79,10 @@
         {
             Answer answer = ask.entry().answer().get(request.remainingMillis() + 1, TimeUnit.MILLISECONDS);
             boolean recorded = !ask.first() && Answers.codeOf(answer) == ResultCode.OK;
+            Answer.Builder known = answer.toBuilder().setEvidence(true);
             return recorded
-                    ? answer.toBuilder().setCode(ResultCode.RECORDED.number()).setRecorded(true).build()
-                    : answer;
+                    ? known.setCode(ResultCode.RECORDED.number()).setRecorded(true).build()
+                    : known.build();
         }
         catch (TimeoutException e)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/OwnedUpstream.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/OwnedUpstream.java
@@ -110,8 +110,7 @@
      * Sends a request to the worker. Rights are checked directly before.
      *
      * @return the worker's whole answer
-     * @throws GaugehollowException
-     *             with a code whose outcome says whether the request may have run
+     * @throws GaugehollowException with a code whose outcome says whether the request may have run
      */
     HttpReply send(Placement placement, UpstreamRequest request, long deadlineNanos)
             throws InterruptedException
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/PeerCalls.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PeerCalls.java
@@ -86,7 +86,7 @@
         String contentType = call.getContentType().isEmpty() ? UNTYPED : call.getContentType();
         CallerRequest request = new CallerRequest(call.getTask(), call.getTeam(), call.getWorkload(),
                 call.getKey(), call.getKeyIssuedAt(), deadline, contentType, call.getBody().toByteArray(),
-                call.getHops());
+                call.getHops(), false);
         inFlight.incrementAndGet();
         try
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/PeerForwarder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PeerForwarder.java
@@ -29,15 +29,11 @@
     /**
      * Passes a request on.
      *
-     * @param address
-     *            the peer's address
-     * @param request
-     *            the request
-     * @param placeOnly
-     *            whether the peer is to run it on its own workers at once or say "not run"
+     * @param address the peer's address
+     * @param request the request
+     * @param placeOnly whether the peer is to run it on its own workers at once or say "not run"
      * @return the peer's answer, or what is known if the peer was lost
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Answer forward(String address, CallerRequest request, boolean placeOnly) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/RequestRouter.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/RequestRouter.java
@@ -47,11 +47,9 @@
     /**
      * Answers a caller's request.
      *
-     * @param request
-     *            the request
+     * @param request the request
      * @return the answer
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Answer route(CallerRequest request) throws InterruptedException
     {
@@ -75,13 +73,10 @@
     /**
      * Answers a request that a peer passed on.
      *
-     * @param request
-     *            the request
-     * @param placeOnly
-     *            whether it is to run on this box's own workers at once or not at all
+     * @param request the request
+     * @param placeOnly whether it is to run on this box's own workers at once or not at all
      * @return the answer
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Answer routeForwarded(CallerRequest request, boolean placeOnly) throws InterruptedException
     {
@@ -115,7 +110,7 @@
             Answer answer = askOwnerOnce(request, workload, team);
             if (!worthAskingAgain(answer) || request.hops() > 0 || request.remainingMillis() <= pause)
             {
-                return earlierAskOpen && Answers.notRun(answer) ? asUnknown(answer) : answer;
+                return request.hops() > 0 ? answer : truthful(answer, request, earlierAskOpen);
             }
             earlierAskOpen |= !Answers.notRun(answer);
             Thread.sleep(pause);
@@ -123,11 +118,22 @@
         }
     }
 
-    private static Answer asUnknown(Answer answer)
+    /**
+     * "Not run" speaks of the key, not only of this ask. So it is said only if the key's owner knows
+     * it, or the caller says that this is its first ask; and never while an earlier ask of this box may
+     * still arrive.
+     */
+    private static Answer truthful(Answer answer, CallerRequest request, boolean earlierAskOpen)
     {
-        ResultCode code = ResultCode.PEER_LOST;
+        boolean sure = !earlierAskOpen && (answer.getEvidence() || request.firstAsk());
+        if (!Answers.notRun(answer) || sure)
+        {
+            return answer;
+        }
+        ResultCode code = ResultCode.KEY_UNCERTAIN;
         return answer.toBuilder().setCode(code.number()).setStatus(code.httpStatus())
-                .setMessage("an earlier ask for the key may have run; " + answer.getMessage()).build();
+                .setRetryAfterMillis(Math.max(code.retryAfterMillis(), answer.getRetryAfterMillis()))
+                .setMessage("ask again with the same key: " + answer.getMessage()).build();
     }
 
     private static boolean worthAskingAgain(Answer answer)
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/WorkerKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/WorkerKeeper.java
@@ -93,8 +93,7 @@
     /**
      * Stops placing on workers that are about to be given away. Requests in flight there go on.
      *
-     * @param workers
-     *            their ids
+     * @param workers their ids
      */
     synchronized void withhold(Collection<String> workers)
     {
@@ -110,8 +109,7 @@
     }
 
     /**
-     * @param worker
-     *            a worker's id
+     * @param worker a worker's id
      * @return the worker, if this box owns it and it is not withheld
      */
     synchronized Optional<OwnedUpstream> upstream(String worker)
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventLog.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventLog.java
@@ -24,10 +24,8 @@
     private final Deque<Event> ring = new ArrayDeque<>();
 
     /**
-     * @param process
-     *            the name of this process
-     * @param clock
-     *            the clock that stamps events
+     * @param process the name of this process
+     * @param clock the clock that stamps events
      */
     public EventLog(String process, HybridClock clock)
     {
@@ -50,12 +48,9 @@
     /**
      * Records an event.
      *
-     * @param type
-     *            which event
-     * @param subject
-     *            what it is about
-     * @param text
-     *            details; may be empty
+     * @param type which event
+     * @param subject what it is about
+     * @param text details; may be empty
      */
     public void record(EventType type, String subject, String text)
     {
@@ -72,8 +67,7 @@
     }
 
     /**
-     * @param after
-     *            only events later than this hybrid time
+     * @param after only events later than this hybrid time
      * @return the events kept, oldest first
      */
     public List<Event> since(long after)
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -12,63 +12,61 @@
  */
 public enum EventType
 {
-    PROCESS_STARTED(100, Level.INFO, "The process serves; the text names its addresses."), PROCESS_STOPPING(
-            101, Level.INFO, "A planned stop began."), PROCESS_STOPPED(102, Level.INFO,
-                    "The planned stop ended; the text says how many requests were in flight at its end."), SERVICE_FAILED(
-                            103, Level.ERROR,
-                            "A supervised service failed and is started again."), PAUSE_DETECTED(104,
-                                    Level.WARN,
-                                    "The process did not run for longer than its tick; rights were put aside."),
+    PROCESS_STARTED(100, Level.INFO, "The process serves; the text names its addresses."),
+    PROCESS_STOPPING(101, Level.INFO, "A planned stop began."),
+    PROCESS_STOPPED(102, Level.INFO,
+            "The planned stop ended; the text says how many requests were in flight at its end."),
+    SERVICE_FAILED(103, Level.ERROR, "A supervised service failed and is started again."),
+    PAUSE_DETECTED(104, Level.WARN,
+            "The process did not run for longer than its tick; rights were put aside."),
 
-    LEASE_GRANTED(200, Level.INFO, "The store gave this box a lease and the box is registered."), LEASE_LOST(
-            201, Level.WARN, "The store no longer knows this box's lease."), RIGHTS_LOST(202, Level.WARN,
-                    "This box may not place: its lease lapsed and too few peers vouch for an outage."), RIGHTS_GAINED(
-                            203, Level.INFO, "This box may place."), STORE_LOST(204, Level.WARN,
-                                    "The store stopped answering this box."), STORE_FOUND(205, Level.INFO,
-                                            "The store answers this box."), RIGHTS_FROZEN(206, Level.WARN,
-                                                    "The store answers nobody; a majority of the hall's boxes go on with the map as it is."),
+    LEASE_GRANTED(200, Level.INFO, "The store gave this box a lease and the box is registered."),
+    LEASE_LOST(201, Level.WARN, "The store no longer knows this box's lease."),
+    RIGHTS_LOST(202, Level.WARN,
+            "This box may not place: its lease lapsed and too few peers vouch for an outage."),
+    RIGHTS_GAINED(203, Level.INFO, "This box may place."),
+    STORE_LOST(204, Level.WARN, "The store stopped answering this box."),
+    STORE_FOUND(205, Level.INFO, "The store answers this box."),
+    RIGHTS_FROZEN(206, Level.WARN,
+            "The store answers nobody; a majority of the hall's boxes go on with the map as it is."),
 
-    MAP_CHANGED(300, Level.INFO, "This box changed the hall's map."), MAP_ADOPTED(301, Level.INFO,
-            "This box adopted a newer map of its hall."), BOX_REMOVED(302, Level.WARN,
-                    "A box whose lease lapsed was taken out of the map."), TAKEOVER_WAITS(303, Level.INFO,
-                            "A take-over waits for its quorum or its waiting period."), SLOTS_HANDED_OVER(304,
-                                    Level.INFO,
-                                    "Key slots were handed to a peer with their records."), SLOTS_TAKEN(305,
-                                            Level.INFO,
-                                            "Key slots were taken with their evidence."), EVIDENCE_MISSING(
-                                                    306, Level.WARN,
-                                                    "Key slots were taken without evidence; keys issued before are answered unknown."),
+    MAP_CHANGED(300, Level.INFO, "This box changed the hall's map."),
+    MAP_ADOPTED(301, Level.INFO, "This box adopted a newer map of its hall."),
+    BOX_REMOVED(302, Level.WARN, "A box whose lease lapsed was taken out of the map."),
+    TAKEOVER_WAITS(303, Level.INFO, "A take-over waits for its quorum or its waiting period."),
+    SLOTS_HANDED_OVER(304, Level.INFO, "Key slots were handed to a peer with their records."),
+    SLOTS_TAKEN(305, Level.INFO, "Key slots were taken with their evidence."),
+    EVIDENCE_MISSING(306, Level.WARN,
+            "Key slots were taken without evidence; keys issued before are answered unknown."),
 
-    WORKER_CLAIMED(400, Level.INFO,
-            "A worker was claimed and what runs on it was counted."), WORKER_CLAIM_FAILED(401, Level.WARN,
-                    "A worker could not be claimed."), WORKER_OUT(402, Level.WARN,
-                            "A worker gets no new work, by its own evidence."), WORKER_BACK(403, Level.INFO,
-                                    "A worker gets work again."), WORKER_LEAVING(404, Level.INFO,
-                                            "A worker is leaving and gets no new work."),
+    WORKER_CLAIMED(400, Level.INFO, "A worker was claimed and what runs on it was counted."),
+    WORKER_CLAIM_FAILED(401, Level.WARN, "A worker could not be claimed."),
+    WORKER_OUT(402, Level.WARN, "A worker gets no new work, by its own evidence."),
+    WORKER_BACK(403, Level.INFO, "A worker gets work again."),
+    WORKER_LEAVING(404, Level.INFO, "A worker is leaving and gets no new work."),
 
-    TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."), TASK_ENDED(501, Level.DEBUG,
-            "A task ended with the result the text gives."), TASK_FORWARDED(502, Level.DEBUG,
-                    "A task was passed to a peer."), TASK_RETRIED(503, Level.DEBUG,
-                            "A task that was not run is tried on another worker."), LATE_ANSWER_DROPPED(504,
-                                    Level.WARN,
-                                    "An answer that belongs to no open request was dropped with its connection."),
+    TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."),
+    TASK_ENDED(501, Level.DEBUG, "A task ended with the result the text gives."),
+    TASK_FORWARDED(502, Level.DEBUG, "A task was passed to a peer."),
+    TASK_RETRIED(503, Level.DEBUG, "A task that was not run is tried on another worker."),
+    LATE_ANSWER_DROPPED(504, Level.WARN,
+            "An answer that belongs to no open request was dropped with its connection."),
 
-    CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."), CONFIG_RESYNCED(601,
-            Level.INFO, "The whole configuration was read anew."), CONFIG_WRITE_SETTLED(602, Level.WARN,
-                    "A write whose answer was lost was settled by reading."), CONFIG_BAD_ENTRY(603,
-                            Level.ERROR, "A stored resource cannot be read and is not in force."),
+    CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."),
+    CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read anew."),
+    CONFIG_WRITE_SETTLED(602, Level.WARN, "A write whose answer was lost was settled by reading."),
+    CONFIG_BAD_ENTRY(603, Level.ERROR, "A stored resource cannot be read and is not in force."),
 
-    PEER_CONNECTED(700, Level.INFO, "A peer answers."), PEER_LOST(701, Level.WARN,
-            "A peer does not answer."), PEER_BAD_CALL(702, Level.WARN,
-                    "A peer's call could not be understood."),
+    PEER_CONNECTED(700, Level.INFO, "A peer answers."),
+    PEER_LOST(701, Level.WARN, "A peer does not answer."),
+    PEER_BAD_CALL(702, Level.WARN, "A peer's call could not be understood."),
 
-    STORE_WATCH_LOST(800, Level.WARN, "The watch on the store ended and is opened again."), ROSTER_CHANGED(
-            801, Level.INFO, "The platform's list of workers changed."), ROSTER_UNREADABLE(802, Level.WARN,
-                    "The platform's list could not be read."),
+    STORE_WATCH_LOST(800, Level.WARN, "The watch on the store ended and is opened again."),
+    ROSTER_CHANGED(801, Level.INFO, "The platform's list of workers changed."),
+    ROSTER_UNREADABLE(802, Level.WARN, "The platform's list could not be read."),
 
-    CALLER_BAD_REQUEST(900, Level.DEBUG,
-            "A request on an HTTP port was refused as malformed."), INTERNAL_FAULT(901, Level.ERROR,
-                    "A fault inside the process; the text names it.");
+    CALLER_BAD_REQUEST(900, Level.DEBUG, "A request on an HTTP port was refused as malformed."),
+    INTERNAL_FAULT(901, Level.ERROR, "A fault inside the process; the text names it.");
 
     private final int number;
     private final Level level;
--- a/gaugehollow/src/main/java/org/gaugehollow/event/HybridClock.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/HybridClock.java
@@ -19,8 +19,7 @@
     private final AtomicLong last = new AtomicLong();
 
     /**
-     * @param wallMillis
-     *            the wall clock
+     * @param wallMillis the wall clock
      */
     public HybridClock(LongSupplier wallMillis)
     {
@@ -35,8 +34,7 @@
     }
 
     /**
-     * @param seen
-     *            a time that came from another process
+     * @param seen a time that came from another process
      */
     public void observe(long seen)
     {
@@ -44,8 +42,7 @@
     }
 
     /**
-     * @param time
-     *            a hybrid time
+     * @param time a hybrid time
      * @return its milliseconds since 1970
      */
     public static long millisOf(long time)
--- a/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -74,12 +74,9 @@
     /**
      * Adds a gauge that is read when scraped.
      *
-     * @param name
-     *            its name
-     * @param help
-     *            one sentence
-     * @param value
-     *            reads it
+     * @param name its name
+     * @param help one sentence
+     * @param value reads it
      */
     public void gauge(String name, String help, java.util.function.DoubleSupplier value)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/keys/KeyCopier.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/keys/KeyCopier.java
@@ -33,14 +33,10 @@
     private HallMap.MapBox syncedWith;
 
     /**
-     * @param self
-     *            this box
-     * @param halls
-     *            the hall's map, which names the successor
-     * @param directory
-     *            the links to peers
-     * @param table
-     *            this box's records
+     * @param self this box
+     * @param halls the hall's map, which names the successor
+     * @param directory the links to peers
+     * @param table this box's records
      */
     public KeyCopier(BoxIdentity self, HallView halls, PeerDirectory directory, KeyTable table)
     {
@@ -53,12 +49,10 @@
     /**
      * Copies one record and waits until the successor has it. A hall of one box has no successor.
      *
-     * @param record
-     *            the record
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             with {@link ResultCode#NO_COPY} if the successor does not have it now
+     * @param record the record
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException with {@link ResultCode#NO_COPY} if the successor does not have it
+     *             now
      */
     public void copy(KeyRecord record) throws InterruptedException
     {
@@ -99,14 +93,10 @@
     /**
      * Gives slots to a peer with all that is known of them.
      *
-     * @param target
-     *            the peer
-     * @param slots
-     *            the slots, in which no request runs
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             if the peer does not have them now
+     * @param target the peer
+     * @param slots the slots, in which no request runs
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException if the peer does not have them now
      */
     public void handOver(HallMap.MapBox target, Collection<Integer> slots, long epoch)
             throws InterruptedException
--- a/gaugehollow/src/main/java/org/gaugehollow/keys/KeyLimits.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/keys/KeyLimits.java
@@ -7,12 +7,9 @@
 /**
  * How long and how much is remembered of keys.
  *
- * @param recordMillis
- *            how long a record is kept
- * @param skewMillis
- *            how far callers' clocks may be from the boxes'
- * @param mostRecords
- *            how many records a box keeps of its own slots
+ * @param recordMillis how long a record is kept
+ * @param skewMillis how far callers' clocks may be from the boxes'
+ * @param mostRecords how many records a box keeps of its own slots
  */
 public record KeyLimits(long recordMillis, long skewMillis, int mostRecords)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/keys/KeyOwnership.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/keys/KeyOwnership.java
@@ -29,18 +29,12 @@
     private final EventLog events;
 
     /**
-     * @param self
-     *            this box's id
-     * @param table
-     *            this box's records
-     * @param replicas
-     *            the copies it keeps
-     * @param copier
-     *            told when the slots change
-     * @param wallMillis
-     *            the wall clock
-     * @param events
-     *            where taken slots are recorded
+     * @param self this box's id
+     * @param table this box's records
+     * @param replicas the copies it keeps
+     * @param copier told when the slots change
+     * @param wallMillis the wall clock
+     * @param events where taken slots are recorded
      */
     public KeyOwnership(String self, KeyTable table, ReplicaTable replicas, KeyCopier copier,
             LongSupplier wallMillis, EventLog events)
@@ -56,8 +50,7 @@
     /**
      * Follows a newer map.
      *
-     * @param next
-     *            the map now in force
+     * @param next the map now in force
      */
     public synchronized void follow(HallMap next)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/keys/KeyTable.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/keys/KeyTable.java
@@ -24,10 +24,8 @@
     /**
      * The result of asking for a key.
      *
-     * @param entry
-     *            the key's record
-     * @param first
-     *            whether this ask made it, and so has to run the request
+     * @param entry the key's record
+     * @param first whether this ask made it, and so has to run the request
      */
     public record Ask(KeyEntry entry, boolean first)
     {
@@ -39,10 +37,8 @@
     private int records;
 
     /**
-     * @param limits
-     *            how long and how much is remembered
-     * @param wallMillis
-     *            the wall clock
+     * @param limits how long and how much is remembered
+     * @param wallMillis the wall clock
      */
     public KeyTable(KeyLimits limits, LongSupplier wallMillis)
     {
@@ -53,19 +49,14 @@
     /**
      * Asks for a key: the first ask makes its record, later ones get the same one.
      *
-     * @param team
-     *            the caller's team
-     * @param key
-     *            the key
-     * @param workload
-     *            the workload asked for
-     * @param issuedAt
-     *            when the caller made the key, in milliseconds since 1970; 0 where it did not say
-     * @param task
-     *            the task id for a first run
+     * @param team the caller's team
+     * @param key the key
+     * @param workload the workload asked for
+     * @param issuedAt when the caller made the key, in milliseconds since 1970; 0 where it did not say
+     * @param task the task id for a first run
      * @return the record, and whether this ask has to run the request
-     * @throws GaugehollowException
-     *             if the key may have run before and nothing is known of it, or if the slot is not here
+     * @throws GaugehollowException if the key may have run before and nothing is known of it, or if the
+     *             slot is not here
      */
     public synchronized Ask ask(String team, String key, String workload, long issuedAt, String task)
     {
@@ -123,10 +114,8 @@
     /**
      * A run ended with an answer, whatever it says; the record keeps it.
      *
-     * @param entry
-     *            the record
-     * @param answer
-     *            the answer
+     * @param entry the record
+     * @param answer the answer
      */
     public synchronized void ended(KeyEntry entry, Answer answer)
     {
@@ -136,10 +125,8 @@
     /**
      * The request was surely not run; the record goes, so that a later ask may run it.
      *
-     * @param entry
-     *            the record
-     * @param answer
-     *            the refusal, for those who joined the ask
+     * @param entry the record
+     * @param answer the refusal, for those who joined the ask
      */
     public synchronized void notRun(KeyEntry entry, Answer answer)
     {
@@ -158,8 +145,7 @@
     }
 
     /**
-     * @param slot
-     *            a slot held here
+     * @param slot a slot held here
      * @return whether it is held and may take new keys
      */
     public synchronized boolean isReady(int slot)
@@ -169,8 +155,7 @@
     }
 
     /**
-     * @param slot
-     *            a slot that is now this box's, with what is known of it
+     * @param slot a slot that is now this box's, with what is known of it
      */
     synchronized void take(int number, KeySlot slot)
     {
@@ -179,8 +164,7 @@
     }
 
     /**
-     * @param number
-     *            a slot that is no longer this box's
+     * @param number a slot that is no longer this box's
      */
     synchronized void drop(int number)
     {
@@ -191,10 +175,8 @@
     /**
      * Stops or resumes new keys for slots.
      *
-     * @param numbers
-     *            the slots
-     * @param moving
-     *            whether they are being handed over
+     * @param numbers the slots
+     * @param moving whether they are being handed over
      */
     public synchronized void setMoving(Collection<Integer> numbers, boolean moving)
     {
@@ -202,8 +184,7 @@
     }
 
     /**
-     * @param numbers
-     *            slots held here
+     * @param numbers slots held here
      * @return those of them in which no request runs
      */
     public synchronized List<Integer> idle(Collection<Integer> numbers)
@@ -212,8 +193,7 @@
     }
 
     /**
-     * @param numbers
-     *            slots held here
+     * @param numbers slots held here
      * @return all that is known of them
      */
     public synchronized List<SlotEvidence> evidence(Collection<Integer> numbers)
--- a/gaugehollow/src/main/java/org/gaugehollow/keys/ReplicaTable.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/keys/ReplicaTable.java
@@ -32,8 +32,7 @@
     private HallMap map;
 
     /**
-     * @param self
-     *            this box's id
+     * @param self this box's id
      */
     public ReplicaTable(String self)
     {
@@ -43,8 +42,7 @@
     /**
      * Takes copies from their owner.
      *
-     * @param call
-     *            the owner's call
+     * @param call the owner's call
      * @return whether they are kept; if not, the owner must not rely on them
      */
     public synchronized boolean take(CopyCall call)
@@ -94,8 +92,7 @@
      * Follows the map. Copies of owners that this box no longer succeeds are dropped; all of them if a
      * map was missed, since in between another box may have kept the copies.
      *
-     * @param next
-     *            the map now in force
+     * @param next the map now in force
      * @return the map before it, if it was the one directly before
      */
     public synchronized Optional<HallMap> follow(HallMap next)
@@ -115,14 +112,10 @@
     /**
      * What is known of a slot that the map has just given to this box.
      *
-     * @param number
-     *            the slot
-     * @param owner
-     *            the owner before
-     * @param ownerGone
-     *            whether the owner left the map with this change
-     * @param since
-     *            the epoch since which this box is the slot's owner
+     * @param number the slot
+     * @param owner the owner before
+     * @param ownerGone whether the owner left the map with this change
+     * @param since the epoch since which this box is the slot's owner
      * @return the complete evidence, if it is here
      */
     synchronized Optional<KeySlot> evidenceOf(int number, String owner, boolean ownerGone, long since)
@@ -137,8 +130,7 @@
     }
 
     /**
-     * @param owner
-     *            a box that is gone and whose slots were taken
+     * @param owner a box that is gone and whose slots were taken
      */
     synchronized void forgetOwner(String owner)
     {
@@ -148,8 +140,7 @@
     /**
      * Forgets ended records that are older than they are kept.
      *
-     * @param before
-     *            the time, in milliseconds since 1970
+     * @param before the time, in milliseconds since 1970
      */
     public synchronized void forgetOld(long before)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/BoxIdentity.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/BoxIdentity.java
@@ -9,15 +9,11 @@
 /**
  * Who this process is.
  *
- * @param name
- *            the box's name from its settings
- * @param id
- *            the name and a suffix of this run, so that a restarted box is never taken for the old
+ * @param name the box's name from its settings
+ * @param id the name and a suffix of this run, so that a restarted box is never taken for the old
  *            one
- * @param hall
- *            its data hall
- * @param peerAddress
- *            where peers reach it
+ * @param hall its data hall
+ * @param peerAddress where peers reach it
  */
 public record BoxIdentity(String name, String id, String hall, String peerAddress)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/HallView.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/HallView.java
@@ -29,10 +29,8 @@
     /**
      * A map with the store's revision of it.
      *
-     * @param map
-     *            the map
-     * @param revision
-     *            the revision to change it from
+     * @param map the map
+     * @param revision the revision to change it from
      */
     public record Versioned(HallMap map, long revision)
     {
@@ -44,12 +42,9 @@
     private final List<Consumer<HallMap>> listeners = new CopyOnWriteArrayList<>();
 
     /**
-     * @param hall
-     *            this box's hall
-     * @param keeper
-     *            the configuration
-     * @param events
-     *            where adopted maps are recorded
+     * @param hall this box's hall
+     * @param keeper the configuration
+     * @param events where adopted maps are recorded
      */
     public HallView(String hall, ConfigKeeper keeper, EventLog events)
     {
@@ -59,8 +54,7 @@
     }
 
     /**
-     * @param listener
-     *            is told when the map of this box's hall changed; it must return at once
+     * @param listener is told when the map of this box's hall changed; it must return at once
      */
     public void addListener(Consumer<HallMap> listener)
     {
@@ -80,8 +74,7 @@
     }
 
     /**
-     * @param other
-     *            a hall
+     * @param other a hall
      * @return its map, if one is known
      */
     public Optional<HallMap> mapOf(String other)
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/MapKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/MapKeeper.java
@@ -48,18 +48,12 @@
     private final Map<String, Long> workerMissingSince = new HashMap<>();
 
     /**
-     * @param parts
-     *            what the monitor of peers works with, shared here
-     * @param store
-     *            the platform's service
-     * @param mapStore
-     *            changes the map
-     * @param peers
-     *            the monitor of peers
-     * @param witnessMillis
-     *            how long a peer's word is good for
-     * @param abandonSeconds
-     *            after how long a take-over goes ahead without its quorum, 0 for never
+     * @param parts what the monitor of peers works with, shared here
+     * @param store the platform's service
+     * @param mapStore changes the map
+     * @param peers the monitor of peers
+     * @param witnessMillis how long a peer's word is good for
+     * @param abandonSeconds after how long a take-over goes ahead without its quorum, 0 for never
      */
     public MapKeeper(PeerMonitor.Parts parts, PlatformStore store, MapStore mapStore, PeerMonitor peers,
             long witnessMillis, long abandonSeconds)
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/MapPlanner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/MapPlanner.java
@@ -29,14 +29,10 @@
      * The map after boxes and workers came and went. What a removed box owned goes to others; what a
      * remaining box owns stays with it.
      *
-     * @param map
-     *            the map in force
-     * @param removed
-     *            boxes whose rights have surely ended
-     * @param joining
-     *            boxes to add
-     * @param workers
-     *            the workers that the hall should have
+     * @param map the map in force
+     * @param removed boxes whose rights have surely ended
+     * @param joining boxes to add
+     * @param workers the workers that the hall should have
      * @return the next map, or the same object where nothing changes
      */
     public static HallMap afterMembership(HallMap map, Set<String> removed,
@@ -60,12 +56,9 @@
     /**
      * The map after one box gave workers and key slots away.
      *
-     * @param map
-     *            the map in force
-     * @param workersTo
-     *            the new owner of each worker given
-     * @param slotsTo
-     *            the new owner of each slot given
+     * @param map the map in force
+     * @param workersTo the new owner of each worker given
+     * @param slotsTo the new owner of each slot given
      * @return the next map
      */
     public static HallMap afterGiving(HallMap map, Map<String, String> workersTo,
@@ -82,10 +75,8 @@
     /**
      * The map without a box that gave everything away.
      *
-     * @param map
-     *            the map in force
-     * @param box
-     *            the box that leaves
+     * @param map the map in force
+     * @param box the box that leaves
      * @return the next map
      */
     public static HallMap afterLeaving(HallMap map, String box)
@@ -98,16 +89,11 @@
     /**
      * What a box should give to others so that all have about the same.
      *
-     * @param <T>
-     *            workers or slots
-     * @param owned
-     *            how much each box owns now, this one included
-     * @param giver
-     *            the box that gives
-     * @param all
-     *            whether it gives everything, because it leaves
-     * @param own
-     *            what it owns, in the order in which it gives
+     * @param <T> workers or slots
+     * @param owned how much each box owns now, this one included
+     * @param giver the box that gives
+     * @param all whether it gives everything, because it leaves
+     * @param own what it owns, in the order in which it gives
      * @return the receiver of each
      */
     public static <T> Map<T, String> surplus(Map<String, Integer> owned, String giver, boolean all,
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/MapStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/MapStore.java
@@ -33,14 +33,10 @@
     private final EventLog events;
 
     /**
-     * @param hall
-     *            the hall
-     * @param store
-     *            the platform's service
-     * @param config
-     *            takes the changed map at once
-     * @param events
-     *            where changes are recorded
+     * @param hall the hall
+     * @param store the platform's service
+     * @param config takes the changed map at once
+     * @param events where changes are recorded
      */
     public MapStore(String hall, PlatformStore store, ConfigKeeper config, EventLog events)
     {
@@ -53,17 +49,12 @@
     /**
      * Changes the map.
      *
-     * @param from
-     *            the map's revision that the change started from, 0 to create it
-     * @param next
-     *            the next map
-     * @param absent
-     *            boxes that must not be registered for the change to be made
+     * @param from the map's revision that the change started from, 0 to create it
+     * @param next the next map
+     * @param absent boxes that must not be registered for the change to be made
      * @return whether the change was made; if not, the map in force here is now the store's
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             if the store did not say, and the change may still take effect
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException if the store did not say, and the change may still take effect
      */
     public boolean change(long from, HallMap next, Collection<String> absent) throws InterruptedException
     {
@@ -87,8 +78,7 @@
      * Reads the map from the store and puts it in force here.
      *
      * @return the map that the store holds, if there is one
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public Optional<HallMap> refresh() throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/MemberRecord.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/MemberRecord.java
@@ -7,12 +7,9 @@
 /**
  * What a box keeps in the store under its lease.
  *
- * @param box
- *            its id
- * @param peerAddress
- *            where peers reach it
- * @param leaving
- *            whether it is in a planned stop
+ * @param box its id
+ * @param peerAddress where peers reach it
+ * @param leaving whether it is in a planned stop
  */
 public record MemberRecord(String box, String peerAddress, boolean leaving)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
@@ -62,16 +62,11 @@
     }
 
     /**
-     * @param parts
-     *            what the monitor works with
-     * @param ownStatus
-     *            what this box says of itself
-     * @param renewNow
-     *            called when a peer's word shows that the store answers again
-     * @param pingMillis
-     *            the period of pings
-     * @param witnessMillis
-     *            how long a peer's word is good for
+     * @param parts what the monitor works with
+     * @param ownStatus what this box says of itself
+     * @param renewNow called when a peer's word shows that the store answers again
+     * @param pingMillis the period of pings
+     * @param witnessMillis how long a peer's word is good for
      */
     public PeerMonitor(Parts parts, Supplier<BoxStatus> ownStatus, Runnable renewNow, long pingMillis,
             long witnessMillis)
@@ -117,8 +112,7 @@
     }
 
     /**
-     * @param box
-     *            a box of the map
+     * @param box a box of the map
      * @return what is known of it
      */
     public Optional<PeerView> view(String box)
@@ -127,8 +121,7 @@
     }
 
     /**
-     * @param box
-     *            a box of the map
+     * @param box a box of the map
      * @return whether it is this one or answered the last ping
      */
     public boolean reachable(String box)
@@ -153,10 +146,8 @@
     /**
      * Takes newer configuration and a newer list of workers from a peer.
      *
-     * @param link
-     *            the peer
-     * @throws InterruptedException
-     *             if the process stops
+     * @param link the peer
+     * @throws InterruptedException if the process stops
      */
     public void pullState(PeerLink link) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/PeerView.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/PeerView.java
@@ -22,12 +22,9 @@
     /**
      * A ping was answered.
      *
-     * @param sentAt
-     *            when it was sent
-     * @param newStatus
-     *            what the peer says
-     * @param vouching
-     *            whether it vouches for this box's rights
+     * @param sentAt when it was sent
+     * @param newStatus what the peer says
+     * @param vouching whether it vouches for this box's rights
      */
     synchronized void replied(long sentAt, BoxStatus newStatus, boolean vouching)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/Rights.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/Rights.java
@@ -25,12 +25,9 @@
     private long witnessUntil;
 
     /**
-     * @param leaseMillis
-     *            how long a renewal is good for, the safety margin taken off
-     * @param witnessMillis
-     *            how long a peer's word is good for
-     * @param nanoTime
-     *            a monotonic clock
+     * @param leaseMillis how long a renewal is good for, the safety margin taken off
+     * @param witnessMillis how long a peer's word is good for
+     * @param nanoTime a monotonic clock
      */
     public Rights(long leaseMillis, long witnessMillis, LongSupplier nanoTime)
     {
@@ -56,8 +53,7 @@
     }
 
     /**
-     * @param sentAt
-     *            when the renewal that the store confirmed was sent, on the monotonic clock
+     * @param sentAt when the renewal that the store confirmed was sent, on the monotonic clock
      */
     public synchronized void renewed(long sentAt)
     {
@@ -91,8 +87,7 @@
      * Whether a word that the store last answered anyone at the given time vouches for this box: nobody
      * can have seen this box's lease lapse if the store fell silent before it could.
      *
-     * @param storeAnsweredAt
-     *            the newest answer known, on the monotonic clock, at the latest
+     * @param storeAnsweredAt the newest answer known, on the monotonic clock, at the latest
      * @return whether it does
      */
     public synchronized boolean vouchedBy(long storeAnsweredAt)
@@ -103,10 +98,8 @@
     /**
      * Extends the right by the word of the map's boxes.
      *
-     * @param vouchedAt
-     *            when each box that vouches was last asked, this box included
-     * @param majority
-     *            how many are needed
+     * @param vouchedAt when each box that vouches was last asked, this box included
+     * @param majority how many are needed
      */
     public synchronized void witnessed(List<Long> vouchedAt, int majority)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/RosterKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/RosterKeeper.java
@@ -38,16 +38,11 @@
     private boolean readable = true;
 
     /**
-     * @param hall
-     *            this box's hall
-     * @param source
-     *            the platform's list
-     * @param isRelay
-     *            whether this box is to read it now
-     * @param periodMillis
-     *            how often
-     * @param events
-     *            where changes are recorded
+     * @param hall this box's hall
+     * @param source the platform's list
+     * @param isRelay whether this box is to read it now
+     * @param periodMillis how often
+     * @param events where changes are recorded
      */
     public RosterKeeper(String hall, WorkerRoster source, BooleanSupplier isRelay, long periodMillis,
             EventLog events)
@@ -60,8 +55,7 @@
     }
 
     /**
-     * @param listener
-     *            is told when the list changed; it must return at once
+     * @param listener is told when the list changed; it must return at once
      */
     public void addListener(Runnable listener)
     {
@@ -88,8 +82,7 @@
     }
 
     /**
-     * @param id
-     *            a worker's id
+     * @param id a worker's id
      * @return the worker, if the list names it
      */
     public synchronized Optional<Worker> worker(String id)
@@ -112,10 +105,8 @@
     /**
      * Takes a list from a peer unless this box's is as new.
      *
-     * @param newVersion
-     *            its version
-     * @param encoded
-     *            the list as {@link #encoded} gives it
+     * @param newVersion its version
+     * @param encoded the list as {@link #encoded} gives it
      */
     public void adopt(long newVersion, byte[] encoded)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StateMessages.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StateMessages.java
@@ -22,8 +22,7 @@
     }
 
     /**
-     * @param reply
-     *            a peer's message
+     * @param reply a peer's message
      * @return the delta in it
      */
     public static ConfigDelta deltaOf(StateReply reply)
@@ -38,8 +37,7 @@
     }
 
     /**
-     * @param delta
-     *            a delta
+     * @param delta a delta
      * @return the message's beginning
      */
     public static StateReply.Builder replyOf(ConfigDelta delta)
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StoreEvidence.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StoreEvidence.java
@@ -22,8 +22,7 @@
     private final long startedAt;
 
     /**
-     * @param nanoTime
-     *            a monotonic clock
+     * @param nanoTime a monotonic clock
      */
     public StoreEvidence(LongSupplier nanoTime)
     {
@@ -41,8 +40,7 @@
     /**
      * A peer's reply says how long ago the store answered it or a box it heard of.
      *
-     * @param ageMillis
-     *            the age at the reply, or {@link #NEVER}
+     * @param ageMillis the age at the reply, or {@link #NEVER}
      */
     public void heard(long ageMillis)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
@@ -45,20 +45,13 @@
     private volatile boolean answering;
 
     /**
-     * @param self
-     *            this box
-     * @param store
-     *            the platform's service
-     * @param rights
-     *            what a renewal extends
-     * @param evidence
-     *            told of the store's answers
-     * @param config
-     *            given the hall's map after each registration
-     * @param events
-     *            where gains and losses are recorded
-     * @param leaseSeconds
-     *            how long the store keeps a silent lease
+     * @param self this box
+     * @param store the platform's service
+     * @param rights what a renewal extends
+     * @param evidence told of the store's answers
+     * @param config given the hall's map after each registration
+     * @param events where gains and losses are recorded
+     * @param leaseSeconds how long the store keeps a silent lease
      */
     public StoreSession(BoxIdentity self, PlatformStore store, Rights rights, StoreEvidence evidence,
             ConfigKeeper config, EventLog events, int leaseSeconds)
@@ -107,8 +100,7 @@
     /**
      * Registers the leaving mark at once.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public synchronized void announceLeaving() throws InterruptedException
     {
@@ -122,8 +114,7 @@
     /**
      * Gives the lease back at the end of a planned stop.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public synchronized void end() throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/TakeoverGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/TakeoverGuard.java
@@ -62,12 +62,9 @@
     /**
      * The store listed the registered boxes.
      *
-     * @param map
-     *            the map in force
-     * @param registered
-     *            the boxes it listed
-     * @param now
-     *            the present time, at most as late as the listing was asked for
+     * @param map the map in force
+     * @param registered the boxes it listed
+     * @param now the present time, at most as late as the listing was asked for
      * @return the boxes of the map whose rights have surely ended
      */
     Set<String> lapsed(HallMap map, Set<String> registered, long now)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/Amounts.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Amounts.java
@@ -7,14 +7,10 @@
 /**
  * Amounts of what a worker holds and a task needs.
  *
- * @param slots
- *            how many requests at once
- * @param cpuMillis
- *            thousandths of a processor
- * @param memoryMib
- *            memory in MiB
- * @param accelerators
- *            whole accelerators
+ * @param slots how many requests at once
+ * @param cpuMillis thousandths of a processor
+ * @param memoryMib memory in MiB
+ * @param accelerators whole accelerators
  */
 public record Amounts(int slots, int cpuMillis, int memoryMib, int accelerators)
 {
@@ -31,8 +27,7 @@
     }
 
     /**
-     * @param other
-     *            what is to be added
+     * @param other what is to be added
      * @return the sum
      */
     public Amounts plus(Amounts other)
@@ -42,8 +37,7 @@
     }
 
     /**
-     * @param other
-     *            what is taken away; it must fit
+     * @param other what is taken away; it must fit
      * @return the rest
      */
     public Amounts minus(Amounts other)
@@ -53,8 +47,7 @@
     }
 
     /**
-     * @param demand
-     *            what a task needs
+     * @param demand what a task needs
      * @return whether all of it is here
      */
     public boolean fits(Amounts demand)
@@ -66,8 +59,7 @@
     /**
      * Takes away as much as there is, never below zero.
      *
-     * @param other
-     *            what is taken away
+     * @param other what is taken away
      * @return the rest
      */
     public Amounts minusAtMost(Amounts other)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/Checks.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Checks.java
@@ -16,14 +16,10 @@
     }
 
     /**
-     * @param value
-     *            the number
-     * @param low
-     *            the least allowed
-     * @param high
-     *            the most allowed
-     * @param key
-     *            the key it stands under
+     * @param value the number
+     * @param low the least allowed
+     * @param high the most allowed
+     * @param key the key it stands under
      * @return the number
      */
     public static long range(long value, long low, long high, String key)
@@ -37,12 +33,9 @@
     }
 
     /**
-     * @param <T>
-     *            the type
-     * @param value
-     *            the value
-     * @param key
-     *            the key it stands under
+     * @param <T> the type
+     * @param value the value
+     * @param key the key it stands under
      * @return the value, never null
      */
     public static <T> T present(T value, String key)
@@ -55,10 +48,8 @@
     }
 
     /**
-     * @param name
-     *            a resource's name
-     * @param key
-     *            the key it stands under
+     * @param name a resource's name
+     * @param key the key it stands under
      * @return the name
      */
     public static String name(String name, String key)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ComparisonSpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ComparisonSpec.java
@@ -7,14 +7,10 @@
 /**
  * Splits one class of work between two policies by key hash.
  *
- * @param taskClass
- *            the class
- * @param first
- *            the name of the first policy
- * @param second
- *            the name of the second policy
- * @param secondPercent
- *            how many of a hundred requests the second policy decides
+ * @param taskClass the class
+ * @param first the name of the first policy
+ * @param second the name of the second policy
+ * @param secondPercent how many of a hundred requests the second policy decides
  */
 public record ComparisonSpec(TaskClass taskClass, String first, String second, int secondPercent)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ConfigEntry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ConfigEntry.java
@@ -7,14 +7,10 @@
 /**
  * One key of the configuration at one revision.
  *
- * @param name
- *            the key below the configuration's prefix, such as {@code workloads/goal}
- * @param revision
- *            the store's revision of the change
- * @param envelope
- *            the stored bytes; empty for a deletion
- * @param deleted
- *            whether the change removed the key
+ * @param name the key below the configuration's prefix, such as {@code workloads/goal}
+ * @param revision the store's revision of the change
+ * @param envelope the stored bytes; empty for a deletion
+ * @param deleted whether the change removed the key
  */
 public record ConfigEntry(String name, long revision, byte[] envelope, boolean deleted)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/Envelope.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Envelope.java
@@ -13,12 +13,9 @@
  * What the store holds under a resource's key: its content and the ids of the last writes, so that
  * a writer whose answer was lost can see whether its write was applied.
  *
- * @param writeId
- *            the id of the write that made this version
- * @param recentWriteIds
- *            the ids of the writes before it, newest first
- * @param spec
- *            the content
+ * @param writeId the id of the write that made this version
+ * @param recentWriteIds the ids of the writes before it, newest first
+ * @param spec the content
  */
 public record Envelope(String writeId, List<String> recentWriteIds, JsonNode spec)
 {
@@ -31,10 +28,8 @@
     }
 
     /**
-     * @param id
-     *            the id of the next write
-     * @param content
-     *            its content
+     * @param id the id of the next write
+     * @param content its content
      * @return the envelope that follows this one
      */
     public Envelope next(String id, JsonNode content)
@@ -46,8 +41,7 @@
     }
 
     /**
-     * @param id
-     *            a write's id
+     * @param id a write's id
      * @return whether that write was applied
      */
     public boolean holds(String id)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/GaugehollowException.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/GaugehollowException.java
@@ -12,10 +12,8 @@
     private final ResultCode code;
 
     /**
-     * @param code
-     *            the numbered result
-     * @param message
-     *            what happened, for people
+     * @param code the numbered result
+     * @param message what happened, for people
      */
     public GaugehollowException(ResultCode code, String message)
     {
@@ -24,12 +22,9 @@
     }
 
     /**
-     * @param code
-     *            the numbered result
-     * @param message
-     *            what happened, for people
-     * @param cause
-     *            the fault underneath
+     * @param code the numbered result
+     * @param message what happened, for people
+     * @param cause the fault underneath
      */
     public GaugehollowException(ResultCode code, String message, Throwable cause)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/HallMap.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/HallMap.java
@@ -15,15 +15,11 @@
  * Who owns what in one data hall. It is one value in the platform's service, changed by
  * compare-and-swap only when membership changes.
  *
- * @param epoch
- *            rises with every change; the fencing token of an assignment is the epoch it was made
+ * @param epoch rises with every change; the fencing token of an assignment is the epoch it was made
  *            in
- * @param boxes
- *            the entry boxes by id, in the order in which each one's successor follows it
- * @param workers
- *            the owner of each worker
- * @param slotOwners
- *            the box that owns each key slot
+ * @param boxes the entry boxes by id, in the order in which each one's successor follows it
+ * @param workers the owner of each worker
+ * @param slotOwners the box that owns each key slot
  */
 public record HallMap(long epoch, Map<String, MapBox> boxes, Map<String, Assignment> workers,
         List<Assignment> slotOwners)
@@ -31,10 +27,8 @@
     /**
      * A box of the map.
      *
-     * @param id
-     *            its id, unique to one run of the process
-     * @param peerAddress
-     *            where its peers reach it
+     * @param id its id, unique to one run of the process
+     * @param peerAddress where its peers reach it
      */
     public record MapBox(String id, String peerAddress)
     {
@@ -43,10 +37,8 @@
     /**
      * The owner of a worker or of a key slot.
      *
-     * @param box
-     *            the owner
-     * @param epoch
-     *            the epoch since which it is the owner
+     * @param box the owner
+     * @param epoch the epoch since which it is the owner
      */
     public record Assignment(String box, long epoch)
     {
@@ -63,8 +55,7 @@
     /**
      * The map of a hall with one box, which owns every key slot.
      *
-     * @param first
-     *            the box
+     * @param first the box
      * @return the first map
      */
     public static HallMap first(MapBox first)
@@ -78,8 +69,7 @@
     }
 
     /**
-     * @param box
-     *            a box
+     * @param box a box
      * @return the box that follows it and keeps the copies of its records, if there is another
      */
     public Optional<String> successorOf(String box)
@@ -94,8 +84,7 @@
     }
 
     /**
-     * @param box
-     *            a box
+     * @param box a box
      * @return the key slots it owns
      */
     public List<Integer> slotsOf(String box)
@@ -112,8 +101,7 @@
     }
 
     /**
-     * @param box
-     *            a box
+     * @param box a box
      * @return the workers it owns
      */
     public List<String> workersOf(String box)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/Json.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Json.java
@@ -40,17 +40,12 @@
     /**
      * Reads a value strictly.
      *
-     * @param <T>
-     *            the type
-     * @param bytes
-     *            UTF-8 JSON
-     * @param type
-     *            the type to read
-     * @param code
-     *            the code to fail with
+     * @param <T> the type
+     * @param bytes UTF-8 JSON
+     * @param type the type to read
+     * @param code the code to fail with
      * @return the value, never null
-     * @throws GaugehollowException
-     *             if the bytes are not a valid value of the type
+     * @throws GaugehollowException if the bytes are not a valid value of the type
      */
     public static <T> T read(byte[] bytes, Class<T> type, ResultCode code)
     {
@@ -81,8 +76,7 @@
     /**
      * Writes a value.
      *
-     * @param value
-     *            any value that the mapper can write
+     * @param value any value that the mapper can write
      * @return UTF-8 JSON
      */
     public static byte[] write(Object value)
@@ -100,8 +94,7 @@
     /**
      * Says in one line which key is wrong and what was expected.
      *
-     * @param e
-     *            the mapper's complaint
+     * @param e the mapper's complaint
      * @return one line
      */
     public static String describe(JsonProcessingException e)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/KeySlots.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/KeySlots.java
@@ -21,10 +21,8 @@
     }
 
     /**
-     * @param team
-     *            the caller's team
-     * @param key
-     *            the key of the request
+     * @param team the caller's team
+     * @param key the key of the request
      * @return the slot, from 0 to {@link #COUNT} - 1
      */
     public static int slotOf(String team, String key)
@@ -33,8 +31,7 @@
     }
 
     /**
-     * @param text
-     *            any text
+     * @param text any text
      * @return its 64-bit hash, the same in every process
      */
     public static long hash(String text)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/PolicySpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/PolicySpec.java
@@ -11,12 +11,9 @@
  * A placement policy and the classes it governs. Where two policies name the same class, the one
  * changed last governs it.
  *
- * @param type
- *            the policy's registered name, such as {@code waiting-first}
- * @param classes
- *            the classes it governs
- * @param parameters
- *            numbers that the policy understands
+ * @param type the policy's registered name, such as {@code waiting-first}
+ * @param classes the classes it governs
+ * @param parameters numbers that the policy understands
  */
 public record PolicySpec(String type, List<TaskClass> classes, Map<String, Double> parameters)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResourceKind.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResourceKind.java
@@ -40,8 +40,7 @@
     }
 
     /**
-     * @param plural
-     *            the word in a path
+     * @param plural the word in a path
      * @return the kind, if there is one
      */
     public static Optional<ResourceKind> ofPlural(String plural)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -13,99 +13,75 @@
  */
 public enum ResultCode
 {
-    OK(0, 200, Outcome.ANSWERED, 0, "The request ran and was answered."), RECORDED(1, 200, Outcome.ANSWERED,
-            0, "An earlier ask with the same key ran; this is its recorded answer."),
-
-    SETTINGS_UNREADABLE(1001, 0, Outcome.NOT_RUN, 0,
-            "The settings file cannot be read or is not JSON."), SETTINGS_UNKNOWN_KEY(1002, 0,
-                    Outcome.NOT_RUN, 0, "The settings hold a key that does not exist."), SETTINGS_WRONG_TYPE(
-                            1003, 0, Outcome.NOT_RUN, 0,
-                            "A setting has the wrong type."), SETTINGS_MISSING(1004, 0, Outcome.NOT_RUN, 0,
-                                    "A required setting is missing."), SETTINGS_RANGE(1005, 0,
-                                            Outcome.NOT_RUN, 0,
-                                            "A setting is outside its range."), ADDRESS_IN_USE(1006, 0,
-                                                    Outcome.NOT_RUN, 0,
-                                                    "A listening address of the settings cannot be bound."),
-
-    BAD_REQUEST(2001, 400, Outcome.NOT_RUN, 0, "The request is malformed."), UNKNOWN_WORKLOAD(2002, 404,
-            Outcome.NOT_RUN, 0, "No workload of that name is in force."), UNKNOWN_TEAM(2003, 404,
-                    Outcome.NOT_RUN, 0, "No team of that name is in force."), BODY_TOO_LARGE(2004, 413,
-                            Outcome.NOT_RUN, 0,
-                            "The body is larger than the workload or the box allows."), DEADLINE_PASSED(2005,
-                                    504, Outcome.NOT_RUN, 500,
-                                    "The deadline passed before the request was started."), UNKNOWN_PATH(2006,
-                                            404, Outcome.NOT_RUN, 0,
-                                            "No such path or method on this port."), KEY_REQUIRED(2007, 400,
-                                                    Outcome.NOT_RUN, 0,
-                                                    "The workload may not be repeated, so its requests need an Idempotency-Key."), KEY_CONFLICT(
-                                                            2008, 409, Outcome.NOT_RUN, 0,
-                                                            "The key was used before for another workload."),
-
-    NO_ROOM(3001, 503, Outcome.NOT_RUN, 500,
-            "No upstream that may take the request had room in time."), QUEUE_FULL(3002, 503, Outcome.NOT_RUN,
-                    1000, "The class has as many waiting requests as it may."), QUOTA_EXCEEDED(3003, 429,
-                            Outcome.NOT_RUN, 1000,
-                            "The team has as much running as its quota allows."), NO_RIGHTS(3004, 503,
-                                    Outcome.NOT_RUN, 2000,
-                                    "The box that owns the upstream or key has no valid rights now."), HALL_UNREACHABLE(
-                                            3005, 503, Outcome.NOT_RUN, 5000,
-                                            "The key's home hall cannot be reached."), NO_COPY(3006, 503,
-                                                    Outcome.NOT_RUN, 2000,
-                                                    "The key's record could not be copied to a second box, so it was not run."), STOPPING(
-                                                            3007, 503, Outcome.NOT_RUN, 100,
-                                                            "This box is stopping; ask another one."), UPSTREAM_REFUSED(
-                                                                    3008, 503, Outcome.NOT_RUN, 200,
-                                                                    "The upstream refused the request before running it."), FENCED(
-                                                                            3009, 503, Outcome.NOT_RUN, 200,
-                                                                            "The upstream belongs to a newer owner and refused the request."), CONFIG_NOT_READY(
-                                                                                    3010, 503,
-                                                                                    Outcome.NOT_RUN, 1000,
-                                                                                    "This box has no configuration yet."), KEY_MOVING(
-                                                                                            3011, 503,
-                                                                                            Outcome.NOT_RUN,
-                                                                                            500,
-                                                                                            "The key range is changing owner."), PREEMPTED(
-                                                                                                    3012, 503,
-                                                                                                    Outcome.NOT_RUN,
-                                                                                                    1000,
-                                                                                                    "A more urgent request took the waiting place."),
+    OK(0, 200, Outcome.ANSWERED, 0, "The request ran and was answered."),
+    RECORDED(1, 200, Outcome.ANSWERED, 0,
+            "An earlier ask with the same key ran; this is its recorded answer."),
+
+    SETTINGS_UNREADABLE(1001, 0, Outcome.NOT_RUN, 0, "The settings file cannot be read or is not JSON."),
+    SETTINGS_UNKNOWN_KEY(1002, 0, Outcome.NOT_RUN, 0, "The settings hold a key that does not exist."),
+    SETTINGS_WRONG_TYPE(1003, 0, Outcome.NOT_RUN, 0, "A setting has the wrong type."),
+    SETTINGS_MISSING(1004, 0, Outcome.NOT_RUN, 0, "A required setting is missing."),
+    SETTINGS_RANGE(1005, 0, Outcome.NOT_RUN, 0, "A setting is outside its range."),
+    ADDRESS_IN_USE(1006, 0, Outcome.NOT_RUN, 0, "A listening address of the settings cannot be bound."),
+
+    BAD_REQUEST(2001, 400, Outcome.NOT_RUN, 0, "The request is malformed."),
+    UNKNOWN_WORKLOAD(2002, 404, Outcome.NOT_RUN, 0, "No workload of that name is in force."),
+    UNKNOWN_TEAM(2003, 404, Outcome.NOT_RUN, 0, "No team of that name is in force."),
+    BODY_TOO_LARGE(2004, 413, Outcome.NOT_RUN, 0, "The body is larger than the workload or the box allows."),
+    DEADLINE_PASSED(2005, 504, Outcome.NOT_RUN, 500, "The deadline passed before the request was started."),
+    UNKNOWN_PATH(2006, 404, Outcome.NOT_RUN, 0, "No such path or method on this port."),
+    KEY_REQUIRED(2007, 400, Outcome.NOT_RUN, 0,
+            "The workload may not be repeated, so its requests need an Idempotency-Key."),
+    KEY_CONFLICT(2008, 409, Outcome.NOT_RUN, 0, "The key was used before for another workload."),
+
+    NO_ROOM(3001, 503, Outcome.NOT_RUN, 500, "No upstream that may take the request had room in time."),
+    QUEUE_FULL(3002, 503, Outcome.NOT_RUN, 1000, "The class has as many waiting requests as it may."),
+    QUOTA_EXCEEDED(3003, 429, Outcome.NOT_RUN, 1000, "The team has as much running as its quota allows."),
+    NO_RIGHTS(3004, 503, Outcome.NOT_RUN, 2000,
+            "The box that owns the upstream or key has no valid rights now."),
+    HALL_UNREACHABLE(3005, 503, Outcome.NOT_RUN, 5000, "The key's home hall cannot be reached."),
+    NO_COPY(3006, 503, Outcome.NOT_RUN, 2000,
+            "The key's record could not be copied to a second box, so it was not run."),
+    STOPPING(3007, 503, Outcome.NOT_RUN, 100, "This box is stopping; ask another one."),
+    UPSTREAM_REFUSED(3008, 503, Outcome.NOT_RUN, 200, "The upstream refused the request before running it."),
+    FENCED(3009, 503, Outcome.NOT_RUN, 200, "The upstream belongs to a newer owner and refused the request."),
+    CONFIG_NOT_READY(3010, 503, Outcome.NOT_RUN, 1000, "This box has no configuration yet."),
+    KEY_MOVING(3011, 503, Outcome.NOT_RUN, 500, "The key range is changing owner."),
+    PREEMPTED(3012, 503, Outcome.NOT_RUN, 1000, "A more urgent request took the waiting place."),
 
     OUTCOME_UNKNOWN(4001, 502, Outcome.UNKNOWN, 1000,
-            "The upstream's connection ended before its whole answer came."), UPSTREAM_TIMEOUT(4002, 504,
-                    Outcome.UNKNOWN, 1000, "The upstream did not answer before the deadline."), PEER_LOST(
-                            4003, 502, Outcome.UNKNOWN, 1000,
-                            "The peer that had taken the request was lost before it answered."), EVIDENCE_LOST(
-                                    4004, 502, Outcome.UNKNOWN, 0,
-                                    "The key may have run before the boxes that knew of it were lost."), STILL_RUNNING(
-                                            4005, 504, Outcome.UNKNOWN, 1000,
-                                            "An earlier ask with this key is still running."), ANSWER_TOO_LARGE(
-                                                    4006, 502, Outcome.UNKNOWN, 0,
-                                                    "The upstream's answer is larger than a box passes on."),
-
-    RESOURCE_NOT_FOUND(5001, 404, Outcome.NOT_RUN, 0, "No such resource."), RESOURCE_INVALID(5002, 422,
-            Outcome.NOT_RUN, 0, "The resource is not valid."), REVISION_CONFLICT(5003, 412, Outcome.NOT_RUN,
-                    0, "The resource changed since the revision the change started from."), REVISION_REQUIRED(
-                            5004, 428, Outcome.NOT_RUN, 0,
-                            "A change of an existing resource needs If-Match."), WATCH_TOO_OLD(5005, 410,
-                                    Outcome.NOT_RUN, 0,
-                                    "The watch's starting revision is no longer held; list again."), RESOURCE_IN_USE(
-                                            5006, 409, Outcome.NOT_RUN, 0,
-                                            "Another resource refers to this one."), FIELD_IMMUTABLE(5007,
-                                                    422, Outcome.NOT_RUN, 0,
-                                                    "A field that may not change was changed."),
+            "The upstream's connection ended before its whole answer came."),
+    UPSTREAM_TIMEOUT(4002, 504, Outcome.UNKNOWN, 1000, "The upstream did not answer before the deadline."),
+    PEER_LOST(4003, 502, Outcome.UNKNOWN, 1000,
+            "The peer that had taken the request was lost before it answered."),
+    EVIDENCE_LOST(4004, 502, Outcome.UNKNOWN, 0,
+            "The key may have run before the boxes that knew of it were lost."),
+    STILL_RUNNING(4005, 504, Outcome.UNKNOWN, 1000, "An earlier ask with this key is still running."),
+    KEY_UNCERTAIN(4007, 503, Outcome.UNKNOWN, 2000,
+            "This ask was not run, but the key's owner could not be asked whether an earlier one was."),
+    ANSWER_TOO_LARGE(4006, 502, Outcome.UNKNOWN, 0, "The upstream's answer is larger than a box passes on."),
+
+    RESOURCE_NOT_FOUND(5001, 404, Outcome.NOT_RUN, 0, "No such resource."),
+    RESOURCE_INVALID(5002, 422, Outcome.NOT_RUN, 0, "The resource is not valid."),
+    REVISION_CONFLICT(5003, 412, Outcome.NOT_RUN, 0,
+            "The resource changed since the revision the change started from."),
+    REVISION_REQUIRED(5004, 428, Outcome.NOT_RUN, 0, "A change of an existing resource needs If-Match."),
+    WATCH_TOO_OLD(5005, 410, Outcome.NOT_RUN, 0,
+            "The watch's starting revision is no longer held; list again."),
+    RESOURCE_IN_USE(5006, 409, Outcome.NOT_RUN, 0, "Another resource refers to this one."),
+    FIELD_IMMUTABLE(5007, 422, Outcome.NOT_RUN, 0, "A field that may not change was changed."),
 
     STORE_UNAVAILABLE(6001, 503, Outcome.NOT_RUN, 2000,
-            "The platform's service does not answer; nothing was changed."), STORE_OUTCOME_UNKNOWN(6002, 504,
-                    Outcome.UNKNOWN, 2000,
-                    "The platform's service did not say whether the change was applied."), STORE_BUDGET(6003,
-                            503, Outcome.NOT_RUN, 1000,
-                            "This box has used up its share of the platform's call budget."), STORE_BAD_ANSWER(
-                                    6004, 502, Outcome.UNKNOWN, 1000,
-                                    "The platform's service gave an answer that cannot be read."),
-
-    PEER_BAD_CALL(7001, 400, Outcome.NOT_RUN, 0,
-            "A peer sent a call that cannot be understood."), PEER_UNREACHABLE(7002, 503, Outcome.NOT_RUN,
-                    1000, "The peer cannot be reached."),
+            "The platform's service does not answer; nothing was changed."),
+    STORE_OUTCOME_UNKNOWN(6002, 504, Outcome.UNKNOWN, 2000,
+            "The platform's service did not say whether the change was applied."),
+    STORE_BUDGET(6003, 503, Outcome.NOT_RUN, 1000,
+            "This box has used up its share of the platform's call budget."),
+    STORE_BAD_ANSWER(6004, 502, Outcome.UNKNOWN, 1000,
+            "The platform's service gave an answer that cannot be read."),
+
+    PEER_BAD_CALL(7001, 400, Outcome.NOT_RUN, 0, "A peer sent a call that cannot be understood."),
+    PEER_UNREACHABLE(7002, 503, Outcome.NOT_RUN, 1000, "The peer cannot be reached."),
 
     INTERNAL(9001, 500, Outcome.UNKNOWN, 1000, "A fault inside the box; see its log.");
 
@@ -167,8 +143,7 @@
     /**
      * Finds a code by its number.
      *
-     * @param number
-     *            the stable number
+     * @param number the stable number
      * @return the code, or {@link #INTERNAL} for a number this version does not know
      */
     public static ResultCode ofNumber(int number)
--- a/gaugehollow/src/main/java/org/gaugehollow/model/TeamSpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/TeamSpec.java
@@ -7,12 +7,9 @@
 /**
  * A team of callers.
  *
- * @param homeHall
- *            the hall that keeps the keys of its requests; it may not change
- * @param maxRunning
- *            how many of its requests may run at once on one box; 0 for no limit
- * @param weight
- *            its share when requests of several teams wait
+ * @param homeHall the hall that keeps the keys of its requests; it may not change
+ * @param maxRunning how many of its requests may run at once on one box; 0 for no limit
+ * @param weight its share when requests of several teams wait
  */
 public record TeamSpec(String homeHall, int maxRunning, int weight)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/Worker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Worker.java
@@ -7,18 +7,12 @@
 /**
  * An upstream of the hall that runs tasks, as the platform's list describes it.
  *
- * @param id
- *            its name
- * @param address
- *            IP number and port
- * @param hall
- *            its data hall
- * @param rack
- *            its rack
- * @param capacity
- *            what it holds
- * @param leaving
- *            whether the list says that it is leaving
+ * @param id its name
+ * @param address IP number and port
+ * @param hall its data hall
+ * @param rack its rack
+ * @param capacity what it holds
+ * @param leaving whether the list says that it is leaving
  */
 public record Worker(String id, String address, String hall, String rack, Amounts capacity, boolean leaving)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/WorkloadSpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/WorkloadSpec.java
@@ -7,18 +7,12 @@
 /**
  * What a workload's requests need and how they may be treated.
  *
- * @param taskClass
- *            how urgent they are
- * @param needs
- *            what one request takes on a worker while it runs; one slot where none is said
- * @param timeoutMillis
- *            how long a caller that names no timeout waits
- * @param repeatable
- *            whether running a request twice does no harm
- * @param maxBodyBytes
- *            the largest body accepted
- * @param path
- *            the path asked on the upstream
+ * @param taskClass how urgent they are
+ * @param needs what one request takes on a worker while it runs; one slot where none is said
+ * @param timeoutMillis how long a caller that names no timeout waits
+ * @param repeatable whether running a request twice does no harm
+ * @param maxBodyBytes the largest body accepted
+ * @param path the path asked on the upstream
  */
 public record WorkloadSpec(TaskClass taskClass, Amounts needs, int timeoutMillis, boolean repeatable,
         int maxBodyBytes, String path)
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpCaller.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpCaller.java
@@ -21,10 +21,8 @@
     private final HttpConnectionPool connections;
 
     /**
-     * @param loops
-     *            the event loops
-     * @param target
-     *            the server's address
+     * @param loops the event loops
+     * @param target the server's address
      */
     public HttpCaller(NetLoops loops, InetSocketAddress target)
     {
@@ -42,17 +40,12 @@
     /**
      * Sends JSON and waits for the whole answer.
      *
-     * @param method
-     *            the HTTP method
-     * @param path
-     *            the path
-     * @param body
-     *            the body, empty for none
-     * @param timeoutMillis
-     *            how long to wait in all
+     * @param method the HTTP method
+     * @param path the path
+     * @param body the body, empty for none
+     * @param timeoutMillis how long to wait in all
      * @return the answer
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public HttpReply call(String method, String path, byte[] body, int timeoutMillis)
             throws InterruptedException
@@ -67,13 +60,10 @@
     /**
      * Sends a request and waits for the whole answer.
      *
-     * @param request
-     *            the request
-     * @param timeoutMillis
-     *            how long to wait in all
+     * @param request the request
+     * @param timeoutMillis how long to wait in all
      * @return the answer
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public HttpReply call(HttpMessage request, int timeoutMillis) throws InterruptedException
     {
@@ -92,11 +82,9 @@
     /**
      * Opens a connection of its own for a streamed answer; the caller closes it.
      *
-     * @param timeoutMillis
-     *            how long to wait
+     * @param timeoutMillis how long to wait
      * @return the connection
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public HttpConnection openOwn(int timeoutMillis) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -70,6 +70,7 @@
     private final String address;
     private final BlockingDeque<Part> parts = new LinkedBlockingDeque<>();
     private boolean busy;
+    private String lastExchange;
 
     private HttpConnection(NetLoops loops, InetSocketAddress target, int timeoutMillis)
             throws InterruptedException
@@ -99,17 +100,12 @@
     /**
      * Opens a connection.
      *
-     * @param loops
-     *            the event loops
-     * @param target
-     *            the address
-     * @param timeoutMillis
-     *            how long to wait
+     * @param loops the event loops
+     * @param target the address
+     * @param timeoutMillis how long to wait
      * @return the open connection
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             with {@link ResultCode#UPSTREAM_REFUSED} if it cannot be opened
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException with {@link ResultCode#UPSTREAM_REFUSED} if it cannot be opened
      */
     public static HttpConnection open(NetLoops loops, InetSocketAddress target, int timeoutMillis)
             throws InterruptedException
@@ -126,23 +122,34 @@
     /**
      * Sends a request and waits for the whole answer.
      *
-     * @param request
-     *            the request
-     * @param deadlineNanos
-     *            when to give up, on {@link System#nanoTime}
-     * @param maxBody
-     *            the largest answer taken
+     * @param request the request
+     * @param deadlineNanos when to give up, on {@link System#nanoTime}
+     * @param maxBody the largest answer taken
      * @return the whole answer
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             {@code UPSTREAM_REFUSED} if nothing was sent, {@code UPSTREAM_TIMEOUT},
-     *             {@code OUTCOME_UNKNOWN} or {@code ANSWER_TOO_LARGE} otherwise
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code UPSTREAM_REFUSED} if nothing was sent,
+     *             {@code UPSTREAM_TIMEOUT}, {@code OUTCOME_UNKNOWN} or {@code ANSWER_TOO_LARGE}
+     *             otherwise
      */
     public HttpReply exchange(HttpMessage request, long deadlineNanos, int maxBody)
             throws InterruptedException
     {
         send(request);
+        return awaitAnswer(deadlineNanos, maxBody);
+    }
+
+    /**
+     * Waits for another whole answer on this connection, where the one before proved to be a
+     * repetition.
+     *
+     * @param deadlineNanos when to give up, on {@link System#nanoTime}
+     * @param maxBody the largest answer taken
+     * @return the whole answer
+     * @throws InterruptedException if the process stops
+     */
+    public HttpReply awaitAnswer(long deadlineNanos, int maxBody) throws InterruptedException
+    {
+        busy = true;
         HttpReply head = readHead(deadlineNanos);
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         boolean whole = false;
@@ -164,16 +171,29 @@
         return new HttpReply(head.status(), head.headers(), body.toByteArray());
     }
 
+    /**
+     * Names the exchange that was answered last, so that a repetition of its answer can be told.
+     *
+     * @param id the exchange's id
+     */
+    public void setLastExchange(String id)
+    {
+        lastExchange = id;
+    }
+
+    /** @return the id given to the exchange before, or null */
+    public String lastExchange()
+    {
+        return lastExchange;
+    }
+
     /**
      * Sends a request whose answer is a stream, and waits for the head of the answer.
      *
-     * @param request
-     *            the request
-     * @param deadlineNanos
-     *            when to give up waiting for the head
+     * @param request the request
+     * @param deadlineNanos when to give up waiting for the head
      * @return the head, with an empty body
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public HttpReply openStream(HttpMessage request, long deadlineNanos) throws InterruptedException
     {
@@ -184,13 +204,10 @@
     /**
      * Waits for the next piece of a streamed answer.
      *
-     * @param deadlineNanos
-     *            when to give up
-     * @param keepOnTimeout
-     *            whether the connection lives on when nothing came in time
+     * @param deadlineNanos when to give up
+     * @param keepOnTimeout whether the connection lives on when nothing came in time
      * @return the bytes, empty when nothing came in time, or null at the end of the stream
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public byte[] nextPiece(long deadlineNanos, boolean keepOnTimeout) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnectionPool.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnectionPool.java
@@ -18,12 +18,9 @@
     private boolean closed;
 
     /**
-     * @param loops
-     *            the event loops
-     * @param target
-     *            the server's address
-     * @param mostIdle
-     *            how many connections are kept open between requests
+     * @param loops the event loops
+     * @param target the server's address
+     * @param mostIdle how many connections are kept open between requests
      */
     public HttpConnectionPool(NetLoops loops, InetSocketAddress target, int mostIdle)
     {
@@ -41,13 +38,10 @@
     /**
      * Takes an idle connection or opens a new one.
      *
-     * @param connectMillis
-     *            how long a new one may take
+     * @param connectMillis how long a new one may take
      * @return a connection that this caller alone uses until it gives it back
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws org.gaugehollow.model.GaugehollowException
-     *             if no connection can be opened
+     * @throws InterruptedException if the process stops
+     * @throws org.gaugehollow.model.GaugehollowException if no connection can be opened
      */
     public HttpConnection take(int connectMillis) throws InterruptedException
     {
@@ -58,10 +52,8 @@
     /**
      * Gives a connection back.
      *
-     * @param connection
-     *            the connection
-     * @param keep
-     *            whether it may carry another request
+     * @param connection the connection
+     * @param keep whether it may carry another request
      */
     public synchronized void giveBack(HttpConnection connection, boolean keep)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpExchange.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpExchange.java
@@ -59,10 +59,8 @@
     /**
      * Sends the whole reply and waits until it is written or the caller is gone.
      *
-     * @param reply
-     *            the reply
-     * @throws InterruptedException
-     *             if the process stops
+     * @param reply the reply
+     * @throws InterruptedException if the process stops
      */
     public void respond(HttpReply reply) throws InterruptedException
     {
@@ -72,12 +70,9 @@
     /**
      * Sends the whole reply.
      *
-     * @param reply
-     *            the reply
-     * @param close
-     *            whether the connection ends with it
-     * @throws InterruptedException
-     *             if the process stops
+     * @param reply the reply
+     * @param close whether the connection ends with it
+     * @throws InterruptedException if the process stops
      */
     public void respond(HttpReply reply, boolean close) throws InterruptedException
     {
@@ -100,8 +95,7 @@
     /**
      * Begins an answer of unknown length, one JSON object a line.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public void startLines() throws InterruptedException
     {
@@ -115,12 +109,9 @@
     /**
      * Sends one line of a begun answer and waits until it is written.
      *
-     * @param json
-     *            the line without its end
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             if the caller is gone
+     * @param json the line without its end
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException if the caller is gone
      */
     public void writeLine(byte[] json) throws InterruptedException
     {
@@ -135,8 +126,7 @@
     /**
      * Ends a begun answer.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public void endLines() throws InterruptedException
     {
@@ -150,8 +140,7 @@
     /**
      * Cuts the connection without an answer.
      *
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     public void abort() throws InterruptedException
     {
@@ -163,10 +152,8 @@
      * Sends a reply whose body breaks off in the middle, and cuts the connection. For stand-ins of
      * failing servers.
      *
-     * @param reply
-     *            the reply
-     * @throws InterruptedException
-     *             if the process stops
+     * @param reply the reply
+     * @throws InterruptedException if the process stops
      */
     public void respondPartly(HttpReply reply) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpHandler.java
@@ -14,10 +14,8 @@
     /**
      * Answers a request, by a reply or by a stream.
      *
-     * @param exchange
-     *            the request and the way back
-     * @throws InterruptedException
-     *             if the process stops
+     * @param exchange the request and the way back
+     * @throws InterruptedException if the process stops
      */
     void handle(HttpExchange exchange) throws InterruptedException;
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpMessage.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpMessage.java
@@ -13,22 +13,16 @@
 /**
  * A whole HTTP request, read or to be sent.
  *
- * @param method
- *            the method
- * @param path
- *            the path without its query
- * @param query
- *            the raw query, empty where there is none
- * @param headers
- *            the headers
- * @param body
- *            the whole body
+ * @param method the method
+ * @param path the path without its query
+ * @param query the raw query, empty where there is none
+ * @param headers the headers
+ * @param body the whole body
  */
 public record HttpMessage(String method, String path, String query, HttpHeaders headers, byte[] body)
 {
     /**
-     * @param name
-     *            a query parameter's name
+     * @param name a query parameter's name
      * @return its decoded value, if it is there
      */
     public Optional<String> parameter(String name)
@@ -46,8 +40,7 @@
     }
 
     /**
-     * @param name
-     *            a header's name
+     * @param name a header's name
      * @return its value, if it is there
      */
     public Optional<String> header(String name)
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpReply.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpReply.java
@@ -15,12 +15,9 @@
 /**
  * A whole HTTP response, to be sent or received.
  *
- * @param status
- *            the status
- * @param headers
- *            the headers
- * @param body
- *            the whole body
+ * @param status the status
+ * @param headers the headers
+ * @param body the whole body
  */
 public record HttpReply(int status, HttpHeaders headers, byte[] body)
 {
@@ -31,28 +28,20 @@
     /**
      * The body of every coded refusal.
      *
-     * @param code
-     *            the number
-     * @param name
-     *            its name
-     * @param outcome
-     *            what is known of the request
-     * @param message
-     *            what happened
-     * @param retryAfterMillis
-     *            when to come back; absent where that does not help
+     * @param code the number
+     * @param name its name
+     * @param outcome what is known of the request
+     * @param message what happened
+     * @param retryAfterMillis when to come back; absent where that does not help
      */
     public record ErrorBody(int code, String name, String outcome, String message, Integer retryAfterMillis)
     {
     }
 
     /**
-     * @param status
-     *            the status
-     * @param contentType
-     *            the media type
-     * @param body
-     *            the body
+     * @param status the status
+     * @param contentType the media type
+     * @param body the body
      * @return the reply
      */
     public static HttpReply of(int status, String contentType, byte[] body)
@@ -63,10 +52,8 @@
     }
 
     /**
-     * @param status
-     *            the status
-     * @param value
-     *            what is written as JSON
+     * @param status the status
+     * @param value what is written as JSON
      * @return the reply
      */
     public static HttpReply json(int status, Object value)
@@ -75,10 +62,8 @@
     }
 
     /**
-     * @param code
-     *            a code that is not OK
-     * @param message
-     *            what happened
+     * @param code a code that is not OK
+     * @param message what happened
      * @return the coded refusal, with Retry-After where asking again helps
      */
     public static HttpReply error(ResultCode code, String message)
@@ -87,12 +72,9 @@
     }
 
     /**
-     * @param code
-     *            a code that is not OK
-     * @param message
-     *            what happened
-     * @param retryAfterMillis
-     *            when to come back, 0 where that does not help
+     * @param code a code that is not OK
+     * @param message what happened
+     * @param retryAfterMillis when to come back, 0 where that does not help
      * @return the coded refusal
      */
     public static HttpReply error(ResultCode code, String message, int retryAfterMillis)
@@ -109,8 +91,7 @@
     }
 
     /**
-     * @param e
-     *            a coded failure
+     * @param e a coded failure
      * @return the coded refusal
      */
     public static HttpReply error(GaugehollowException e)
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpServer.java
@@ -37,18 +37,12 @@
     /**
      * Starts to listen.
      *
-     * @param loops
-     *            the event loops
-     * @param address
-     *            where to listen; port 0 takes a free one
-     * @param maxBody
-     *            the largest body in bytes
-     * @param events
-     *            where faults are recorded
-     * @param handler
-     *            what answers the requests
-     * @throws GaugehollowException
-     *             with {@link ResultCode#ADDRESS_IN_USE} if the address is taken
+     * @param loops the event loops
+     * @param address where to listen; port 0 takes a free one
+     * @param maxBody the largest body in bytes
+     * @param events where faults are recorded
+     * @param handler what answers the requests
+     * @throws GaugehollowException with {@link ResultCode#ADDRESS_IN_USE} if the address is taken
      */
     public HttpServer(NetLoops loops, InetSocketAddress address, int maxBody, EventLog events,
             HttpHandler handler)
--- a/gaugehollow/src/main/java/org/gaugehollow/net/NetAddress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/NetAddress.java
@@ -24,11 +24,9 @@
     }
 
     /**
-     * @param text
-     *            IP number and port
+     * @param text IP number and port
      * @return the address
-     * @throws GaugehollowException
-     *             with {@link ResultCode#RESOURCE_INVALID} if the text is not one
+     * @throws GaugehollowException with {@link ResultCode#RESOURCE_INVALID} if the text is not one
      */
     public static InetSocketAddress parse(String text)
     {
@@ -58,8 +56,7 @@
     }
 
     /**
-     * @param address
-     *            an address
+     * @param address an address
      * @return the form that {@link #parse} reads
      */
     public static String format(InetSocketAddress address)
--- a/gaugehollow/src/main/java/org/gaugehollow/net/NetLoops.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/NetLoops.java
@@ -26,8 +26,7 @@
     private final Optional<InetAddress> source;
 
     /**
-     * @param source
-     *            the address that outgoing connections come from, if it is to be a certain one
+     * @param source the address that outgoing connections come from, if it is to be a certain one
      */
     public NetLoops(Optional<InetAddress> source)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerDirectory.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerDirectory.java
@@ -21,12 +21,9 @@
     private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
 
     /**
-     * @param loops
-     *            the event loops
-     * @param events
-     *            stamps calls
-     * @param metrics
-     *            counts bytes
+     * @param loops the event loops
+     * @param events stamps calls
+     * @param metrics counts bytes
      */
     public PeerDirectory(NetLoops loops, EventLog events, Metrics metrics)
     {
@@ -36,8 +33,7 @@
     }
 
     /**
-     * @param address
-     *            a peer's address
+     * @param address a peer's address
      * @return the link to it
      */
     public PeerLink link(String address)
@@ -46,8 +42,7 @@
     }
 
     /**
-     * @param address
-     *            the address of a peer that is gone; its link is closed
+     * @param address the address of a peer that is gone; its link is closed
      */
     public void drop(String address)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerHandler.java
@@ -13,11 +13,9 @@
     /**
      * Answers a call.
      *
-     * @param call
-     *            the call
+     * @param call the call
      * @return the reply's body; its call id is filled in by the server
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Frame.Builder handle(Frame call) throws InterruptedException;
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
@@ -45,14 +45,10 @@
     private boolean closed;
 
     /**
-     * @param loops
-     *            the event loops
-     * @param target
-     *            the peer's address
-     * @param events
-     *            stamps calls with this process' clock
-     * @param metrics
-     *            counts bytes
+     * @param loops the event loops
+     * @param target the peer's address
+     * @param events stamps calls with this process' clock
+     * @param metrics counts bytes
      */
     public PeerLink(NetLoops loops, InetSocketAddress target, EventLog events, Metrics metrics)
     {
@@ -65,16 +61,12 @@
     /**
      * Calls the peer and waits for its reply.
      *
-     * @param call
-     *            the call's body
-     * @param timeoutMillis
-     *            how long to wait
+     * @param call the call's body
+     * @param timeoutMillis how long to wait
      * @return the reply
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             {@code PEER_UNREACHABLE} if the call was surely not sent, {@code PEER_LOST} if it may
-     *             have been, or the code that the peer gave
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code PEER_UNREACHABLE} if the call was surely not sent,
+     *             {@code PEER_LOST} if it may have been, or the code that the peer gave
      */
     public Frame call(Frame.Builder call, long timeoutMillis) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -42,16 +42,11 @@
     /**
      * Starts to listen.
      *
-     * @param loops
-     *            the event loops
-     * @param address
-     *            where to listen
-     * @param events
-     *            where faults are recorded
-     * @param handler
-     *            answers the calls
-     * @throws GaugehollowException
-     *             with {@link ResultCode#ADDRESS_IN_USE} if the address is taken
+     * @param loops the event loops
+     * @param address where to listen
+     * @param events where faults are recorded
+     * @param handler answers the calls
+     * @throws GaugehollowException with {@link ResultCode#ADDRESS_IN_USE} if the address is taken
      */
     public PeerServer(NetLoops loops, InetSocketAddress address, EventLog events, PeerHandler handler)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/EngineLimits.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/EngineLimits.java
@@ -11,12 +11,9 @@
 /**
  * The limits of an engine.
  *
- * @param waiting
- *            how many tasks of each class may wait
- * @param waitingInAll
- *            how many tasks may wait in all; beyond it the least urgent is shed first
- * @param batchShare
- *            the share of all slots that batch may hold, so that urgent work finds room
+ * @param waiting how many tasks of each class may wait
+ * @param waitingInAll how many tasks may wait in all; beyond it the least urgent is shed first
+ * @param batchShare the share of all slots that batch may hold, so that urgent work finds room
  */
 public record EngineLimits(Map<TaskClass, Integer> waiting, int waitingInAll, double batchShare)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PackingFirstScore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PackingFirstScore.java
@@ -9,11 +9,10 @@
 /**
  * Rates the worker best that has least left after the task, for work whose packing counts most.
  *
- * @param acceleratorReserve
- *            what is added for a worker with free accelerators when the task needs none
- * @param balanceWeight
- *            how much an uneven rest of processors and memory counts, since an uneven rest is what
- *            later tasks cannot use
+ * @param acceleratorReserve what is added for a worker with free accelerators when the task needs
+ *            none
+ * @param balanceWeight how much an uneven rest of processors and memory counts, since an uneven
+ *            rest is what later tasks cannot use
  */
 public record PackingFirstScore(double acceleratorReserve, double balanceWeight) implements WorkerScore
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
@@ -38,12 +38,9 @@
     private long sequence;
 
     /**
-     * @param limits
-     *            queue limits and shares
-     * @param policies
-     *            which policy governs which class
-     * @param nanoTime
-     *            a monotonic clock
+     * @param limits queue limits and shares
+     * @param policies which policy governs which class
+     * @param nanoTime a monotonic clock
      */
     public PlacementEngine(EngineLimits limits, PolicyBook policies, LongSupplier nanoTime)
     {
@@ -56,8 +53,7 @@
      * Swaps the policies. Waiting tasks are decided by the new ones from now on; none is lost or
      * reordered.
      *
-     * @param book
-     *            the new policies
+     * @param book the new policies
      */
     public void usePolicies(PolicyBook book)
     {
@@ -76,16 +72,11 @@
     /**
      * Adds a worker that this box owns now, or changes it.
      *
-     * @param worker
-     *            its id
-     * @param epoch
-     *            the epoch of the ownership
-     * @param capacity
-     *            what it holds
-     * @param foreign
-     *            what still runs there that this box did not start
-     * @param accepting
-     *            whether it may get new work
+     * @param worker its id
+     * @param epoch the epoch of the ownership
+     * @param capacity what it holds
+     * @param foreign what still runs there that this box did not start
+     * @param accepting whether it may get new work
      */
     public void putWorker(String worker, long epoch, Amounts capacity, Amounts foreign, boolean accepting)
     {
@@ -106,10 +97,8 @@
     /**
      * Stops or resumes new work for a worker; unknown ones are ignored.
      *
-     * @param worker
-     *            its id
-     * @param accepting
-     *            whether it may get new work
+     * @param worker its id
+     * @param accepting whether it may get new work
      */
     public void setAccepting(String worker, boolean accepting)
     {
@@ -133,8 +122,7 @@
     /**
      * Forgets a worker that this box no longer owns. What it started there is still released later.
      *
-     * @param worker
-     *            its id
+     * @param worker its id
      */
     public void removeWorker(String worker)
     {
@@ -153,11 +141,10 @@
     /**
      * Places a task now or not at all, behind those that wait already.
      *
-     * @param demand
-     *            the task
+     * @param demand the task
      * @return the decision, or empty where there is no room
-     * @throws GaugehollowException
-     *             with {@link ResultCode#QUOTA_EXCEEDED} if the team's quota is used up
+     * @throws GaugehollowException with {@link ResultCode#QUOTA_EXCEEDED} if the team's quota is used
+     *             up
      */
     public Optional<Placement> tryPlace(TaskDemand demand)
     {
@@ -175,15 +162,11 @@
     /**
      * Places a task, waiting for room until the given time.
      *
-     * @param demand
-     *            the task
-     * @param untilNanos
-     *            when to give up, on the engine's clock
+     * @param demand the task
+     * @param untilNanos when to give up, on the engine's clock
      * @return the decision
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             with {@code NO_ROOM}, {@code QUEUE_FULL} or {@code PREEMPTED}
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException with {@code NO_ROOM}, {@code QUEUE_FULL} or {@code PREEMPTED}
      */
     public Placement place(TaskDemand demand, long untilNanos) throws InterruptedException
     {
@@ -208,8 +191,7 @@
     /**
      * Frees what a task held.
      *
-     * @param placement
-     *            the decision that placed it
+     * @param placement the decision that placed it
      */
     public void release(Placement placement)
     {
@@ -283,8 +265,7 @@
     }
 
     /**
-     * @param worker
-     *            a worker's id
+     * @param worker a worker's id
      * @return how many tasks of this box run there
      */
     public int runningOn(String worker)
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementPolicy.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementPolicy.java
@@ -18,10 +18,8 @@
     /**
      * Picks a worker among those with room.
      *
-     * @param index
-     *            the workers that may get work
-     * @param demand
-     *            what the task needs
+     * @param index the workers that may get work
+     * @param demand what the task needs
      * @return the worker's id, or empty where none has room
      */
     Optional<String> choose(WorkerIndex index, Amounts demand);
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyBook.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyBook.java
@@ -20,10 +20,8 @@
     /**
      * A policy under the name of its resource.
      *
-     * @param name
-     *            the resource's name
-     * @param policy
-     *            the policy
+     * @param name the resource's name
+     * @param policy the policy
      */
     public record Named(String name, PlacementPolicy policy)
     {
@@ -32,14 +30,10 @@
     /**
      * The two arms of a comparison.
      *
-     * @param comparison
-     *            the resource's name
-     * @param first
-     *            the first arm
-     * @param second
-     *            the second arm
-     * @param secondPercent
-     *            how many of a hundred tasks the second arm decides
+     * @param comparison the resource's name
+     * @param first the first arm
+     * @param second the second arm
+     * @param secondPercent how many of a hundred tasks the second arm decides
      */
     public record Split(String comparison, Named first, Named second, int secondPercent)
     {
@@ -50,12 +44,9 @@
     private final Named fallback;
 
     /**
-     * @param governing
-     *            the policy of each class that has one
-     * @param splits
-     *            the comparison of each class that has one
-     * @param fallback
-     *            the policy of all other classes
+     * @param governing the policy of each class that has one
+     * @param splits the comparison of each class that has one
+     * @param fallback the policy of all other classes
      */
     public PolicyBook(Map<TaskClass, Named> governing, Map<TaskClass, Split> splits, Named fallback)
     {
@@ -69,10 +60,8 @@
     /**
      * The policy that decides a task. The same task always gets the same arm of a comparison.
      *
-     * @param taskClass
-     *            the task's class
-     * @param task
-     *            the task's id
+     * @param taskClass the task's class
+     * @param task the task's id
      * @return the policy under its name
      */
     public Named policyFor(TaskClass taskClass, String task)
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyRegistry.java
@@ -53,12 +53,9 @@
     /**
      * Adds a policy.
      *
-     * @param type
-     *            the name that resources use
-     * @param parameters
-     *            the parameters it understands
-     * @param factory
-     *            makes it from the parameters given
+     * @param type the name that resources use
+     * @param parameters the parameters it understands
+     * @param factory makes it from the parameters given
      */
     public void register(String type, List<String> parameters,
             Function<Map<String, Double>, PlacementPolicy> factory)
@@ -69,11 +66,10 @@
     /**
      * Makes a policy.
      *
-     * @param spec
-     *            what the resource says
+     * @param spec what the resource says
      * @return a new policy
-     * @throws GaugehollowException
-     *             with {@link ResultCode#RESOURCE_INVALID} for an unknown type or parameter
+     * @throws GaugehollowException with {@link ResultCode#RESOURCE_INVALID} for an unknown type or
+     *             parameter
      */
     public PlacementPolicy create(PolicySpec spec)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/RandomPolicy.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/RandomPolicy.java
@@ -18,8 +18,7 @@
     private final UniformRandomProvider random;
 
     /**
-     * @param seed
-     *            the seed of the choices
+     * @param seed the seed of the choices
      */
     public RandomPolicy(long seed)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/ScoredPolicy.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/ScoredPolicy.java
@@ -14,8 +14,7 @@
     private final WorkerScore score;
 
     /**
-     * @param score
-     *            how a worker is rated
+     * @param score how a worker is rated
      */
     public ScoredPolicy(WorkerScore score)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/TaskDemand.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/TaskDemand.java
@@ -10,20 +10,13 @@
 /**
  * A task that wants a worker.
  *
- * @param task
- *            its id
- * @param taskClass
- *            its class
- * @param team
- *            its team
- * @param teamWeight
- *            the team's share among waiting tasks
- * @param teamLimit
- *            how many tasks the team may run here at once, 0 for no limit
- * @param needs
- *            what it takes on a worker
- * @param deadlineNanos
- *            when its caller stops waiting, on the engine's clock
+ * @param task its id
+ * @param taskClass its class
+ * @param team its team
+ * @param teamWeight the team's share among waiting tasks
+ * @param teamLimit how many tasks the team may run here at once, 0 for no limit
+ * @param needs what it takes on a worker
+ * @param deadlineNanos when its caller stops waiting, on the engine's clock
  */
 public record TaskDemand(String task, TaskClass taskClass, String team, int teamWeight, int teamLimit,
         Amounts needs, long deadlineNanos)
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/WaitingFirstScore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/WaitingFirstScore.java
@@ -10,8 +10,8 @@
  * Rates the least loaded worker best, for work whose waiting time counts most. Load is the fullest
  * of slots, processors and memory after the task was placed.
  *
- * @param acceleratorReserve
- *            how much load is added for a worker with accelerators when the task needs none
+ * @param acceleratorReserve how much load is added for a worker with accelerators when the task
+ *            needs none
  */
 public record WaitingFirstScore(double acceleratorReserve) implements WorkerScore
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/WorkerIndex.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/WorkerIndex.java
@@ -23,10 +23,8 @@
     /**
      * What a group of workers has in common.
      *
-     * @param capacity
-     *            what each holds
-     * @param free
-     *            what each has free
+     * @param capacity what each holds
+     * @param free what each has free
      */
     public record State(Amounts capacity, Amounts free)
     {
@@ -38,12 +36,9 @@
     /**
      * Adds a worker or changes what it has free.
      *
-     * @param worker
-     *            its id
-     * @param capacity
-     *            what it holds
-     * @param free
-     *            what it has free
+     * @param worker its id
+     * @param capacity what it holds
+     * @param free what it has free
      */
     public void put(String worker, Amounts capacity, Amounts free)
     {
@@ -54,8 +49,7 @@
     }
 
     /**
-     * @param worker
-     *            the worker that gets no more work; unknown ones are ignored
+     * @param worker the worker that gets no more work; unknown ones are ignored
      */
     public void remove(String worker)
     {
@@ -79,8 +73,7 @@
     }
 
     /**
-     * @param state
-     *            a state of {@link #states}
+     * @param state a state of {@link #states}
      * @return the first worker in that state, by id
      */
     public String firstOf(State state)
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/WorkerScore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/WorkerScore.java
@@ -11,12 +11,9 @@
 public interface WorkerScore
 {
     /**
-     * @param capacity
-     *            what the worker holds
-     * @param free
-     *            what it has free, at least the demand
-     * @param demand
-     *            what the task needs
+     * @param capacity what the worker holds
+     * @param free what it has free, at least the demand
+     * @param demand what the task needs
      * @return the score; lower is better
      */
     double score(Amounts capacity, Amounts free, Amounts demand);
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/EtcdStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/EtcdStore.java
@@ -37,14 +37,10 @@
     private final int timeoutMillis;
 
     /**
-     * @param caller
-     *            reaches the service
-     * @param budget
-     *            this box's share of calls
-     * @param metrics
-     *            counts the calls
-     * @param timeoutMillis
-     *            how long one call may take
+     * @param caller reaches the service
+     * @param budget this box's share of calls
+     * @param metrics counts the calls
+     * @param timeoutMillis how long one call may take
      */
     public EtcdStore(HttpCaller caller, StoreBudget budget, Metrics metrics, int timeoutMillis)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/HttpWorkerRoster.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/HttpWorkerRoster.java
@@ -31,12 +31,9 @@
     private final int timeoutMillis;
 
     /**
-     * @param caller
-     *            reaches the list
-     * @param path
-     *            its path
-     * @param timeoutMillis
-     *            how long one read may take
+     * @param caller reaches the list
+     * @param path its path
+     * @param timeoutMillis how long one read may take
      */
     public HttpWorkerRoster(HttpCaller caller, String path, int timeoutMillis)
     {
@@ -66,11 +63,9 @@
     }
 
     /**
-     * @param body
-     *            the list's bytes
+     * @param body the list's bytes
      * @return its workers
-     * @throws GaugehollowException
-     *             with {@code STORE_BAD_ANSWER} if it is not such a list
+     * @throws GaugehollowException with {@code STORE_BAD_ANSWER} if it is not such a list
      */
     public static List<Worker> parse(byte[] body)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/PlatformStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/PlatformStore.java
@@ -14,66 +14,51 @@
 public interface PlatformStore extends AutoCloseable
 {
     /**
-     * @param key
-     *            a key
+     * @param key a key
      * @return its value, if it exists
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Optional<StoredValue> get(String key) throws InterruptedException;
 
     /**
-     * @param prefix
-     *            the start of keys
+     * @param prefix the start of keys
      * @return all keys that start with it, at one revision
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     StoreListing list(String prefix) throws InterruptedException;
 
     /**
-     * @param transaction
-     *            conditions and writes
+     * @param transaction conditions and writes
      * @return the revision of the change, or empty if a condition did not hold
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     Optional<Long> commit(StoreTransaction transaction) throws InterruptedException;
 
     /**
-     * @param seconds
-     *            how long the lease lives without renewal
+     * @param seconds how long the lease lives without renewal
      * @return its id
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     long grantLease(int seconds) throws InterruptedException;
 
     /**
-     * @param lease
-     *            a lease's id
+     * @param lease a lease's id
      * @return whether the store still knew it and renewed it
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     boolean renewLease(long lease) throws InterruptedException;
 
     /**
-     * @param lease
-     *            a lease's id; its keys go with it
-     * @throws InterruptedException
-     *             if the process stops
+     * @param lease a lease's id; its keys go with it
+     * @throws InterruptedException if the process stops
      */
     void revokeLease(long lease) throws InterruptedException;
 
     /**
-     * @param prefix
-     *            the start of keys
-     * @param fromRevision
-     *            the first revision to report
+     * @param prefix the start of keys
+     * @param fromRevision the first revision to report
      * @return an open watch
-     * @throws InterruptedException
-     *             if the process stops
+     * @throws InterruptedException if the process stops
      */
     StoreWatch watch(String prefix, long fromRevision) throws InterruptedException;
 
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/StoreBudget.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/StoreBudget.java
@@ -21,12 +21,9 @@
     private long refilledAt;
 
     /**
-     * @param callsPerSecond
-     *            the share
-     * @param burst
-     *            how many calls may come at once
-     * @param nanoTime
-     *            a monotonic clock
+     * @param callsPerSecond the share
+     * @param burst how many calls may come at once
+     * @param nanoTime a monotonic clock
      */
     public StoreBudget(double callsPerSecond, double burst, LongSupplier nanoTime)
     {
@@ -40,8 +37,8 @@
     /**
      * Takes one call.
      *
-     * @throws GaugehollowException
-     *             with {@link ResultCode#STORE_BUDGET} if none is left; nothing was sent
+     * @throws GaugehollowException with {@link ResultCode#STORE_BUDGET} if none is left; nothing was
+     *             sent
      */
     public synchronized void take()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/StoreChange.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/StoreChange.java
@@ -7,14 +7,10 @@
 /**
  * A change that a watch reports.
  *
- * @param key
- *            the key
- * @param value
- *            the new bytes; empty for a deletion
- * @param revision
- *            the store's revision of the change
- * @param deleted
- *            whether the key was removed
+ * @param key the key
+ * @param value the new bytes; empty for a deletion
+ * @param revision the store's revision of the change
+ * @param deleted whether the key was removed
  */
 public record StoreChange(String key, byte[] value, long revision, boolean deleted)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/StoreTransaction.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/StoreTransaction.java
@@ -13,10 +13,8 @@
     /**
      * A key's last change must be at this revision; 0 says that the key must not exist.
      *
-     * @param key
-     *            the key
-     * @param modRevision
-     *            the revision
+     * @param key the key
+     * @param modRevision the revision
      */
     public record Condition(String key, long modRevision)
     {
@@ -25,12 +23,9 @@
     /**
      * A write; null bytes remove the key.
      *
-     * @param key
-     *            the key
-     * @param value
-     *            the bytes
-     * @param lease
-     *            the lease that the key ends with, 0 for none
+     * @param key the key
+     * @param value the bytes
+     * @param lease the lease that the key ends with, 0 for none
      */
     public record Write(String key, byte[] value, long lease)
     {
@@ -40,10 +35,8 @@
     private final List<Write> writes = new ArrayList<>();
 
     /**
-     * @param key
-     *            a key
-     * @param modRevision
-     *            the revision its last change must have; 0 if it must not exist
+     * @param key a key
+     * @param modRevision the revision its last change must have; 0 if it must not exist
      * @return this
      */
     public StoreTransaction require(String key, long modRevision)
@@ -53,10 +46,8 @@
     }
 
     /**
-     * @param key
-     *            a key
-     * @param value
-     *            its new bytes
+     * @param key a key
+     * @param value its new bytes
      * @return this
      */
     public StoreTransaction put(String key, byte[] value)
@@ -65,12 +56,9 @@
     }
 
     /**
-     * @param key
-     *            a key
-     * @param value
-     *            its new bytes
-     * @param lease
-     *            the lease that the key ends with
+     * @param key a key
+     * @param value its new bytes
+     * @param lease the lease that the key ends with
      * @return this
      */
     public StoreTransaction put(String key, byte[] value, long lease)
@@ -80,8 +68,7 @@
     }
 
     /**
-     * @param key
-     *            a key to remove
+     * @param key a key to remove
      * @return this
      */
     public StoreTransaction delete(String key)
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/StoredValue.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/StoredValue.java
@@ -7,12 +7,9 @@
 /**
  * A key's value in the store.
  *
- * @param key
- *            the key
- * @param value
- *            the bytes
- * @param modRevision
- *            the store's revision of the last change
+ * @param key the key
+ * @param value the bytes
+ * @param modRevision the store's revision of the last change
  */
 public record StoredValue(String key, byte[] value, long modRevision)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/WorkerRoster.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/WorkerRoster.java
@@ -15,10 +15,9 @@
      * Reads the list.
      *
      * @return the workers that it names, of all halls
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws org.gaugehollow.model.GaugehollowException
-     *             with {@code STORE_UNAVAILABLE} if it cannot be read
+     * @throws InterruptedException if the process stops
+     * @throws org.gaugehollow.model.GaugehollowException with {@code STORE_UNAVAILABLE} if it cannot be
+     *             read
      */
     List<Worker> read() throws InterruptedException;
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/EntrySettings.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/EntrySettings.java
@@ -12,30 +12,19 @@
 /**
  * The settings of an entry box, read from a JSON file. docs/SETTINGS.md describes each key.
  *
- * @param box
- *            the box's name
- * @param hall
- *            its data hall
- * @param region
- *            its region
- * @param callerAddress
- *            where callers reach it
- * @param operatorAddress
- *            where operators reach it
- * @param peerAddress
- *            where it listens for peers
- * @param advertisedPeerAddress
- *            where peers reach it, if that differs
- * @param sourceAddress
- *            the IP number its own connections come from, if it is to be a certain one
- * @param platform
- *            how the platform is reached
- * @param seeds
- *            peer addresses of boxes of the hall, asked when the platform does not answer at start
- * @param timing
- *            the periods of membership
- * @param limits
- *            the limits of requests
+ * @param box the box's name
+ * @param hall its data hall
+ * @param region its region
+ * @param callerAddress where callers reach it
+ * @param operatorAddress where operators reach it
+ * @param peerAddress where it listens for peers
+ * @param advertisedPeerAddress where peers reach it, if that differs
+ * @param sourceAddress the IP number its own connections come from, if it is to be a certain one
+ * @param platform how the platform is reached
+ * @param seeds peer addresses of boxes of the hall, asked when the platform does not answer at
+ *            start
+ * @param timing the periods of membership
+ * @param limits the limits of requests
  */
 public record EntrySettings(String box, String hall, String region, String callerAddress,
         String operatorAddress, String peerAddress, String advertisedPeerAddress, String sourceAddress,
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/LimitSettings.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/LimitSettings.java
@@ -9,16 +9,11 @@
 /**
  * The limits of requests on one box.
  *
- * @param waiting
- *            how many requests may wait in all
- * @param waitingPerClass
- *            how many requests of one class may wait
- * @param batchPercent
- *            the share of slots that batch may hold
- * @param retryPercent
- *            how many tries after "not run" there may be for a hundred requests
- * @param records
- *            how many key records are kept at most
+ * @param waiting how many requests may wait in all
+ * @param waitingPerClass how many requests of one class may wait
+ * @param batchPercent the share of slots that batch may hold
+ * @param retryPercent how many tries after "not run" there may be for a hundred requests
+ * @param records how many key records are kept at most
  */
 public record LimitSettings(int waiting, int waitingPerClass, int batchPercent, int retryPercent, int records)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/PlatformSettings.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/PlatformSettings.java
@@ -9,16 +9,11 @@
 /**
  * How a box reaches the platform.
  *
- * @param storeAddress
- *            the key-value service
- * @param rosterAddress
- *            the list of workers
- * @param rosterPath
- *            the list's path
- * @param timeoutMillis
- *            how long one call may take
- * @param callsPerSecond
- *            this box's share of the service's calls
+ * @param storeAddress the key-value service
+ * @param rosterAddress the list of workers
+ * @param rosterPath the list's path
+ * @param timeoutMillis how long one call may take
+ * @param callsPerSecond this box's share of the service's calls
  */
 public record PlatformSettings(String storeAddress, String rosterAddress, String rosterPath,
         int timeoutMillis, int callsPerSecond)
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/SettingsReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/SettingsReader.java
@@ -25,15 +25,11 @@
     /**
      * Reads and checks a file.
      *
-     * @param <T>
-     *            the record
-     * @param file
-     *            the file
-     * @param type
-     *            the record that describes it
+     * @param <T> the record
+     * @param file the file
+     * @param type the record that describes it
      * @return the checked settings
-     * @throws GaugehollowException
-     *             with a code of the 1000s and one line that names the key
+     * @throws GaugehollowException with a code of the 1000s and one line that names the key
      */
     public static <T> T read(Path file, Class<T> type)
     {
@@ -53,15 +49,11 @@
     /**
      * Checks settings that were read already.
      *
-     * @param <T>
-     *            the record
-     * @param bytes
-     *            UTF-8 JSON
-     * @param type
-     *            the record that describes it
+     * @param <T> the record
+     * @param bytes UTF-8 JSON
+     * @param type the record that describes it
      * @return the checked settings
-     * @throws GaugehollowException
-     *             with a code of the 1000s and one line that names the key
+     * @throws GaugehollowException with a code of the 1000s and one line that names the key
      */
     public static <T> T parse(byte[] bytes, Class<T> type)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/TimingSettings.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/TimingSettings.java
@@ -11,24 +11,15 @@
 /**
  * The periods of membership. All boxes of a hall must have the same.
  *
- * @param leaseSeconds
- *            how long the store keeps a silent box's lease
- * @param leaseMarginMillis
- *            how long before the store's end a box ends its own rights
- * @param pingMillis
- *            how often peers are asked
- * @param witnessMillis
- *            how long a peer's word counts that the store answers nobody
- * @param rosterMillis
- *            how often the platform's list is read
- * @param recordSeconds
- *            how long the record of a key is kept
- * @param clockSkewMillis
- *            how far callers' clocks may be from the boxes'
- * @param drainSeconds
- *            how long a planned stop waits for requests in flight
- * @param abandonSeconds
- *            after how long without its quorum a take-over goes ahead; 0 for never
+ * @param leaseSeconds how long the store keeps a silent box's lease
+ * @param leaseMarginMillis how long before the store's end a box ends its own rights
+ * @param pingMillis how often peers are asked
+ * @param witnessMillis how long a peer's word counts that the store answers nobody
+ * @param rosterMillis how often the platform's list is read
+ * @param recordSeconds how long the record of a key is kept
+ * @param clockSkewMillis how far callers' clocks may be from the boxes'
+ * @param drainSeconds how long a planned stop waits for requests in flight
+ * @param abandonSeconds after how long without its quorum a take-over goes ahead; 0 for never
  */
 public record TimingSettings(int leaseSeconds, int leaseMarginMillis, int pingMillis, int witnessMillis,
         int rosterMillis, int recordSeconds, int clockSkewMillis, int drainSeconds, Integer abandonSeconds)
--- a/gaugehollow/src/main/java/org/gaugehollow/supervise/SupervisedTask.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/supervise/SupervisedTask.java
@@ -11,8 +11,7 @@
     /**
      * Runs until the work is over or the thread is interrupted.
      *
-     * @throws InterruptedException
-     *             when it is stopped
+     * @throws InterruptedException when it is stopped
      */
     void run() throws InterruptedException;
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/supervise/Supervisor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/supervise/Supervisor.java
@@ -31,10 +31,8 @@
     private boolean closed;
 
     /**
-     * @param name
-     *            the name of this node in the log
-     * @param events
-     *            where failures are recorded
+     * @param name the name of this node in the log
+     * @param events where failures are recorded
      */
     public Supervisor(String name, EventLog events)
     {
@@ -45,10 +43,8 @@
     /**
      * Starts a task; a task that runs under this name already is stopped first.
      *
-     * @param task
-     *            its name
-     * @param body
-     *            what it does
+     * @param task its name
+     * @param body what it does
      */
     public synchronized void start(String task, SupervisedTask body)
     {
@@ -66,8 +62,7 @@
     /**
      * Stops a task; an unknown name is ignored.
      *
-     * @param task
-     *            its name
+     * @param task its name
      */
     public synchronized void stop(String task)
     {
@@ -88,8 +83,7 @@
     /**
      * Adds a child node.
      *
-     * @param child
-     *            its name
+     * @param child its name
      * @return the child, stopped together with this node
      */
     public synchronized Supervisor child(String child)
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClaim.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClaim.java
@@ -7,10 +7,8 @@
 /**
  * The body of a claim.
  *
- * @param box
- *            the new owner
- * @param epoch
- *            the epoch of its ownership
+ * @param box the new owner
+ * @param epoch the epoch of its ownership
  */
 public record UpstreamClaim(String box, long epoch)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
@@ -44,14 +44,10 @@
     private final HttpConnectionPool connections;
 
     /**
-     * @param loops
-     *            the event loops
-     * @param worker
-     *            the upstream's id
-     * @param target
-     *            its address
-     * @param events
-     *            where dropped answers are recorded
+     * @param loops the event loops
+     * @param worker the upstream's id
+     * @param target its address
+     * @param events where dropped answers are recorded
      */
     public UpstreamClient(NetLoops loops, String worker, InetSocketAddress target, EventLog events)
     {
@@ -70,17 +66,12 @@
     /**
      * Runs a request and waits for its whole answer.
      *
-     * @param request
-     *            the request
-     * @param epoch
-     *            the fencing token
-     * @param deadlineNanos
-     *            when to give up, on {@link System#nanoTime}
+     * @param request the request
+     * @param epoch the fencing token
+     * @param deadlineNanos when to give up, on {@link System#nanoTime}
      * @return the upstream's answer
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             with a code whose outcome says whether the request may have run
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException with a code whose outcome says whether the request may have run
      */
     public HttpReply run(UpstreamRequest request, long epoch, long deadlineNanos) throws InterruptedException
     {
@@ -89,7 +80,12 @@
         try
         {
             HttpReply reply = connection.exchange(messageOf(request, epoch), deadlineNanos, LARGEST_ANSWER);
+            if (isRepetition(connection, request, reply))
+            {
+                reply = connection.awaitAnswer(deadlineNanos, LARGEST_ANSWER);
+            }
             keep = checkTask(request, reply);
+            connection.setLastExchange(request.task());
             checkRan(reply);
             return reply;
         }
@@ -102,13 +98,10 @@
     /**
      * Takes the upstream for a new owner: from now on it refuses older ones, if it can.
      *
-     * @param claim
-     *            the new owner and its epoch
+     * @param claim the new owner and its epoch
      * @return what runs there
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             if it does not answer, or {@code FENCED} if it has a newer owner
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException if it does not answer, or {@code FENCED} if it has a newer owner
      */
     public UpstreamReport claim(UpstreamClaim claim) throws InterruptedException
     {
@@ -124,10 +117,8 @@
      * Asks what runs there.
      *
      * @return what runs there
-     * @throws InterruptedException
-     *             if the process stops
-     * @throws GaugehollowException
-     *             if it does not answer
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException if it does not answer
      */
     public UpstreamReport report() throws InterruptedException
     {
@@ -165,6 +156,21 @@
                 + needs.memoryMib() + ";accelerators=" + needs.accelerators();
     }
 
+    /**
+     * Whether the upstream sent the answer to the request before once more; the right one may follow.
+     */
+    private boolean isRepetition(HttpConnection connection, UpstreamRequest request, HttpReply reply)
+    {
+        String answered = reply.headers().get(UpstreamHeaders.TASK);
+        boolean repeated = answered != null && answered.equals(connection.lastExchange())
+                && !answered.equals(request.task());
+        if (repeated)
+        {
+            events.record(EventType.LATE_ANSWER_DROPPED, request.task(), "a second answer for " + answered);
+        }
+        return repeated;
+    }
+
     /**
      * Returns whether the connection may be used again: only if the upstream names the task it answers.
      */
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamHeaders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamHeaders.java
@@ -34,6 +34,9 @@
     /** When the caller made the key, in milliseconds since 1970. */
     public static final String KEY_ISSUED = "Gaugehollow-Key-Issued-Millis";
 
+    /** The number of this ask for a key; 1 says that the caller never sent the key before. */
+    public static final String ATTEMPT = "Gaugehollow-Attempt";
+
     private UpstreamHeaders()
     {
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamHealth.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamHealth.java
@@ -18,8 +18,7 @@
     private int allowedSlots;
 
     /**
-     * @param allSlots
-     *            how many slots the upstream has
+     * @param allSlots how many slots the upstream has
      */
     public UpstreamHealth(int allSlots)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamReport.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamReport.java
@@ -9,14 +9,10 @@
 /**
  * What an upstream says when it is claimed or asked.
  *
- * @param accepted
- *            whether a claim was accepted; true where none was made
- * @param fencing
- *            whether it refuses starts of older owners
- * @param leaving
- *            whether it is leaving
- * @param tasks
- *            what runs there
+ * @param accepted whether a claim was accepted; true where none was made
+ * @param fencing whether it refuses starts of older owners
+ * @param leaving whether it is leaving
+ * @param tasks what runs there
  */
 public record UpstreamReport(boolean accepted, boolean fencing, boolean leaving, List<UpstreamTask> tasks)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamRequest.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamRequest.java
@@ -9,20 +9,13 @@
 /**
  * A request for an upstream.
  *
- * @param task
- *            its id
- * @param team
- *            the caller's team
- * @param key
- *            its key, or empty
- * @param path
- *            the path asked
- * @param needs
- *            what it takes
- * @param contentType
- *            the body's media type
- * @param body
- *            the body
+ * @param task its id
+ * @param team the caller's team
+ * @param key its key, or empty
+ * @param path the path asked
+ * @param needs what it takes
+ * @param contentType the body's media type
+ * @param body the body
  */
 public record UpstreamRequest(String task, String team, String key, String path, Amounts needs,
         String contentType, byte[] body)
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamTask.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamTask.java
@@ -9,12 +9,9 @@
 /**
  * A task that an upstream says it runs.
  *
- * @param task
- *            its id
- * @param epoch
- *            the epoch it was started with
- * @param needs
- *            what it takes
+ * @param task its id
+ * @param epoch the epoch it was started with
+ * @param needs what it takes
  */
 public record UpstreamTask(String task, long epoch, Amounts needs)
 {
