--- /dev/null
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/BackgroundLoad.java
@@ -0,0 +1,69 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gaugehollow.net.HttpReply;
+
+/** Callers that ask without pause until they are stopped, and remember every answer. */
+final class BackgroundLoad
+{
+    private static final int TIMEOUT_MILLIS = 8_000;
+
+    private final Map<String, HttpReply> replies = new ConcurrentHashMap<>();
+    private final AtomicBoolean running = new AtomicBoolean(true);
+    private final AtomicInteger next = new AtomicInteger();
+    private final List<Thread> callers = new ArrayList<>();
+
+    /** Starts callers that go round the boxes; keyed requests get a new key each. */
+    BackgroundLoad(TestCell cell, List<TestBox> boxes, int count, String workload, int millis)
+    {
+        for (int i = 0; i < count; i++)
+        {
+            callers.add(Thread.startVirtualThread(() -> askUntilStopped(cell, boxes, workload, millis)));
+        }
+    }
+
+    private void askUntilStopped(TestCell cell, List<TestBox> boxes, String workload, int millis)
+    {
+        try
+        {
+            while (running.get())
+            {
+                int number = next.getAndIncrement();
+                String key = "goal".equals(workload) ? "load-" + number : null;
+                String body = "{\"millis\":" + millis + ",\"echo\":\"load-" + number + "\"}";
+                TestBox box = boxes.get(number % boxes.size());
+                replies.put("load-" + number, cell.ask(box, workload, key, body, TIMEOUT_MILLIS));
+            }
+        }
+        catch (InterruptedException e)
+        {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    int answered()
+    {
+        return (int) replies.values().stream().filter(r -> "answered".equals(TestCell.outcome(r))).count();
+    }
+
+    /** Ends the load and returns each request's echo with its answer. */
+    Map<String, HttpReply> stop() throws InterruptedException
+    {
+        running.set(false);
+        for (Thread caller : callers)
+        {
+            caller.join();
+        }
+        return replies;
+    }
+}
--- /dev/null
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/NotRunTest.java
@@ -0,0 +1,102 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.standin.StartRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * "Not run" means not run, an answer is whole and its own, and failing upstreams cause no storm of
+ * retries.
+ */
+class NotRunTest
+{
+    private static final int CALLERS = 16;
+    private TestCell cell;
+
+    @BeforeEach
+    void start() throws InterruptedException
+    {
+        cell = TestCell.started(CellOptions.oneHall(3, 4));
+    }
+
+    @AfterEach
+    void stop()
+    {
+        cell.close();
+    }
+
+    @Test
+    void whatIsSaidNotToHaveRunIsOnNoWorkersRecord() throws Exception
+    {
+        BackgroundLoad load = new BackgroundLoad(cell, List.copyOf(cell.boxes.values()), CALLERS, "lookup",
+                20);
+        TestCell.await("load runs", () -> load.answered() > 200);
+        cell.workers.get("bole-w1").freeze();
+        TestCell.await("load goes on", () -> load.answered() > 500);
+        cell.workers.get("bole-w1").thaw();
+        cell.boxes.get("bole-2").process.freeze();
+        Thread.sleep(3_000);
+        cell.boxes.get("bole-2").process.thaw();
+        int before = load.answered();
+        TestCell.await("load goes on after the freeze", () -> load.answered() > before + 300);
+        assertAnswersTrue(load.stop());
+    }
+
+    @Test
+    void whenHalfTheUpstreamsDieTheOthersAreNotStormed() throws Exception
+    {
+        BackgroundLoad load = new BackgroundLoad(cell, List.copyOf(cell.boxes.values()), CALLERS, "lookup",
+                10);
+        TestCell.await("load runs", () -> load.answered() > 200);
+        cell.workers.get("bole-w1").kill();
+        cell.workers.get("bole-w2").kill();
+        int before = load.answered();
+        TestCell.await("load goes on", () -> load.answered() > before + 600);
+        Map<String, HttpReply> replies = load.stop();
+        double retries = 0;
+        for (TestBox box : cell.boxes.values())
+        {
+            retries += box.metric("gaugehollow_retries_total");
+        }
+        assertThat(retries).isLessThan(0.2 * replies.size() + 150);
+        assertAnswersTrue(replies);
+    }
+
+    private void assertAnswersTrue(Map<String, HttpReply> replies) throws InterruptedException
+    {
+        Map<String, Integer> starts = new HashMap<>();
+        for (StartRecord start : cell.starts())
+        {
+            String echo = start.body().replaceAll(".*\"echo\":\"([^\"]*)\".*", "$1");
+            starts.merge(echo, 1, Integer::sum);
+        }
+        replies.forEach((echo, reply) ->
+        {
+            int ran = starts.getOrDefault(echo, 0);
+            assertWithMessage(echo).that(ran).isAtMost(1);
+            if ("not-run".equals(TestCell.outcome(reply)))
+            {
+                assertWithMessage(echo + " " + TestCell.text(reply)).that(ran).isEqualTo(0);
+                assertThat(reply.headers().get("Retry-After")).isNotNull();
+            }
+            if ("answered".equals(TestCell.outcome(reply)))
+            {
+                assertThat(TestCell.text(reply)).isEqualTo("{\"echo\":\"" + echo + "\"}");
+            }
+        });
+        assertThat(cell.overloads()).isEqualTo(0);
+    }
+}
