--- a/gaugehollow/src/main/java/org/gaugehollow/model/Json.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Json.java
@@ -4,6 +4,12 @@
  */
 package org.gaugehollow.model;
 
+import com.fasterxml.jackson.databind.type.LogicalType;
+
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+
 import java.io.IOException;
 import java.util.stream.Collectors;
 
@@ -25,6 +31,10 @@
             .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
             .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
             .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .withCoercionConfig(LogicalType.Textual,
+                    config -> config.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                            .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                            .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail))
             .serializationInclusion(JsonInclude.Include.NON_NULL).build();
 
     private Json()
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/SettingsReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/SettingsReader.java
@@ -5,15 +5,18 @@
 package org.gaugehollow.settings;
 
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
 
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 
 import com.fasterxml.jackson.databind.exc.MismatchedInputException;
-import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.JsonNode;
 
 /** Reads settings files and says in one line what is wrong with one. */
 public final class SettingsReader
@@ -59,6 +62,7 @@
     {
         try
         {
+            checkKeys(Json.read(bytes, JsonNode.class, ResultCode.SETTINGS_UNREADABLE), type, "");
             return Json.read(bytes, type, ResultCode.SETTINGS_UNREADABLE);
         }
         catch (GaugehollowException e)
@@ -67,15 +71,38 @@
         }
     }
 
+    /** A misspelt key is named before a missing one is, since it is the likelier fault. */
+    private static void checkKeys(JsonNode node, Class<?> type, String path)
+    {
+        Map<String, Class<?>> known = new TreeMap<>();
+        for (RecordComponent component : type.getRecordComponents())
+        {
+            known.put(component.getName(), component.getType());
+        }
+        for (Map.Entry<String, JsonNode> field : node.properties())
+        {
+            Class<?> fieldType = known.get(field.getKey());
+            if (fieldType == null)
+            {
+                throw new GaugehollowException(ResultCode.SETTINGS_UNKNOWN_KEY, path + field.getKey()
+                        + ": unknown key; expected one of: " + String.join(", ", known.keySet()));
+            }
+            if (fieldType.isRecord() && field.getValue().isObject())
+            {
+                checkKeys(field.getValue(), fieldType, path + field.getKey() + '.');
+            }
+        }
+    }
+
     private static ResultCode codeOf(GaugehollowException e)
     {
-        if (e.getCause() instanceof GaugehollowException check)
+        if (e.code() == ResultCode.SETTINGS_UNKNOWN_KEY)
         {
-            return codeOfCheck(check);
+            return e.code();
         }
-        if (e.getCause() instanceof UnrecognizedPropertyException)
+        if (e.getCause() instanceof GaugehollowException check)
         {
-            return ResultCode.SETTINGS_UNKNOWN_KEY;
+            return codeOfCheck(check);
         }
         return e.getCause() instanceof MismatchedInputException
                 ? ResultCode.SETTINGS_WRONG_TYPE
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
@@ -0,0 +1,52 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import org.junit.jupiter.api.Test;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+
+/** Holds the order of the packages: a lower one never uses a higher one. */
+class ArchitectureTest
+{
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("org.gaugehollow");
+
+    @Test
+    void lowerPackagesNeverUseHigherOnes()
+    {
+        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("org.gaugehollow..").layer("model")
+                .definedBy("..model..").layer("event").definedBy("..event..").layer("net")
+                .definedBy("..net..").layer("supervise").definedBy("..supervise..").layer("settings")
+                .definedBy("..settings..").layer("placement").definedBy("..placement..").layer("platform")
+                .definedBy("..platform..").layer("upstream").definedBy("..upstream..").layer("peer")
+                .definedBy("..peer..").layer("config").definedBy("..config..").layer("membership")
+                .definedBy("..membership..").layer("keys").definedBy("..keys..").layer("entry")
+                .definedBy("..entry..").whereLayer("entry").mayNotBeAccessedByAnyLayer().whereLayer("keys")
+                .mayOnlyBeAccessedByLayers("entry").whereLayer("membership")
+                .mayOnlyBeAccessedByLayers("keys", "entry").whereLayer("config")
+                .mayOnlyBeAccessedByLayers("membership", "keys", "entry").whereLayer("peer")
+                .mayOnlyBeAccessedByLayers("membership", "keys", "entry").whereLayer("upstream")
+                .mayOnlyBeAccessedByLayers("entry").whereLayer("platform")
+                .mayOnlyBeAccessedByLayers("config", "membership", "entry").whereLayer("placement")
+                .mayOnlyBeAccessedByLayers("config", "entry").whereLayer("settings")
+                .mayOnlyBeAccessedByLayers("entry").check(CLASSES);
+    }
+
+    @Test
+    void decisionsKnowNeitherNetworkNorClocks()
+    {
+        ArchRuleDefinition.noClasses().that().resideInAPackage("..placement..").should().dependOnClassesThat()
+                .resideInAnyPackage("io.netty..", "java.net..").check(CLASSES);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("..placement..").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .check(CLASSES);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/config/ResourceStoreTest.java
@@ -0,0 +1,114 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.model.ConfigEntry;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.FakeStore;
+import org.junit.jupiter.api.Test;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Writes of operators whose answers are lost, in every order with other writes. */
+class ResourceStoreTest
+{
+    private static final String NAME = "workloads/goal";
+    private final FakeStore store = new FakeStore();
+    private final ResourceStore resources = new ResourceStore(store,
+            new EventLog("test", new HybridClock(System::currentTimeMillis)));
+
+    private static JsonNode spec(int value)
+    {
+        return Json.mapper().createObjectNode().put("value", value);
+    }
+
+    private ResultCode failure(org.junit.jupiter.api.function.Executable write)
+    {
+        return assertThrows(GaugehollowException.class, write).code();
+    }
+
+    @Test
+    void aLostAnswerToAWriteThatWasAppliedIsSettledAsSuccess() throws Exception
+    {
+        store.loseAnswers(1);
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        assertThat(store.get(StoreKeys.CONFIG + NAME).orElseThrow().modRevision())
+                .isEqualTo(created.revision());
+        store.loseAnswers(2);
+        ConfigEntry changed = resources.put(NAME, Optional.of(created.revision()), spec(2));
+        assertThat(changed.revision()).isGreaterThan(created.revision());
+    }
+
+    @Test
+    void aLostWriteThatWasNotAppliedIsMadeOnce() throws Exception
+    {
+        store.loseWrites(1);
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        assertThat(created.revision()).isGreaterThan(0L);
+        assertThat(store.commits()).isEqualTo(1);
+    }
+
+    @Test
+    void anotherOperatorsChangeBetweenTheLostAnswerAndTheQuestionIsToldApart() throws Exception
+    {
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        store.loseAnswers(1);
+        store.afterNextCommit(() -> resources.put(NAME,
+                Optional.of(store.get(StoreKeys.CONFIG + NAME).orElseThrow().modRevision()), spec(3)));
+        ConfigEntry mine = resources.put(NAME, Optional.of(created.revision()), spec(2));
+        assertThat(new String(mine.envelope(), java.nio.charset.StandardCharsets.UTF_8))
+                .contains("\"value\":3");
+    }
+
+    @Test
+    void ofTwoDeletionsWithALostAnswerOnlyOneSucceeds() throws Exception
+    {
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        store.loseWrites(1);
+        store.afterNextCommit(null);
+        ConfigEntry removed = resources.delete(NAME, created.revision());
+        assertThat(removed.deleted()).isTrue();
+        assertThat(failure(() -> resources.delete(NAME, created.revision())))
+                .isEqualTo(ResultCode.RESOURCE_NOT_FOUND);
+    }
+
+    @Test
+    void aStoreThatNeverSaysLeavesTheOutcomeOpen()
+    {
+        store.loseAnswers(100);
+        assertThat(failure(() -> resources.put(NAME, Optional.empty(), spec(1))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void aStoreThatCannotBeReachedLeavesEverythingAsItWas()
+    {
+        store.setDown(true);
+        assertThat(failure(() -> resources.put(NAME, Optional.empty(), spec(1))))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+    }
+
+    @Test
+    void anOldRevisionIsAConflictThatNamesTheNewOne() throws Exception
+    {
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        ConfigEntry changed = resources.put(NAME, Optional.of(created.revision()), spec(2));
+        GaugehollowException conflict = assertThrows(GaugehollowException.class,
+                () -> resources.put(NAME, Optional.of(created.revision()), spec(3)));
+        assertThat(conflict.code()).isEqualTo(ResultCode.REVISION_CONFLICT);
+        assertThat(conflict.getMessage()).contains(Long.toString(changed.revision()));
+        assertThat(List.of(created, changed)).hasSize(2);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/IndexDifferentialTest.java
@@ -0,0 +1,111 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.gaugehollow.model.Amounts;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** The index decides just as the naive scan does, whatever comes and goes. */
+class IndexDifferentialTest
+{
+    /** One thing that happens to a cell. */
+    record Step(int kind, int worker, Amounts amounts)
+    {
+    }
+
+    @Provide
+    Arbitrary<List<Step>> histories()
+    {
+        Arbitrary<Amounts> amounts = Combinators
+                .combine(Arbitraries.integers().between(1, 3), Arbitraries.integers().between(0, 4),
+                        Arbitraries.integers().between(0, 4), Arbitraries.integers().between(0, 1))
+                .as((slots, cpu, memory, accelerators) -> new Amounts(slots, cpu * 1000, memory * 2048,
+                        accelerators));
+        return Combinators
+                .combine(Arbitraries.integers().between(0, 9), Arbitraries.integers().between(0, 14), amounts)
+                .as(Step::new).list().ofMinSize(20).ofMaxSize(200);
+    }
+
+    @Property(tries = 300, seed = "4711")
+    void waitingFirst(@ForAll("histories") List<Step> history)
+    {
+        replay(history, new WaitingFirstScore(0.25));
+    }
+
+    @Property(tries = 300, seed = "4712")
+    void packingFirst(@ForAll("histories") List<Step> history)
+    {
+        replay(history, new PackingFirstScore(10, 1));
+    }
+
+    private static void replay(List<Step> history, WorkerScore score)
+    {
+        WorkerIndex index = new WorkerIndex();
+        NaivePlacement naive = new NaivePlacement(score);
+        ScoredPolicy policy = new ScoredPolicy(score);
+        Map<String, Amounts> free = new HashMap<>();
+        List<Map.Entry<String, Amounts>> running = new ArrayList<>();
+        for (Step step : history)
+        {
+            String id = "w" + step.worker;
+            if (step.kind == 0)
+            {
+                index.remove(id);
+                naive.remove(id);
+                free.remove(id);
+                running.removeIf(task -> task.getKey().equals(id));
+            }
+            else if (step.kind <= 2)
+            {
+                free.putIfAbsent(id, capacityOf(id));
+                put(index, naive, id, free.get(id));
+            }
+            else if (step.kind == 3 && !running.isEmpty())
+            {
+                Map.Entry<String, Amounts> ended = running.remove(step.worker % running.size());
+                free.merge(ended.getKey(), ended.getValue(), Amounts::plus);
+                put(index, naive, ended.getKey(), free.get(ended.getKey()));
+            }
+            else
+            {
+                Optional<String> chosen = policy.choose(index, step.amounts);
+                assertThat(chosen).isEqualTo(naive.choose(step.amounts));
+                chosen.ifPresent(worker ->
+                {
+                    free.computeIfPresent(worker, (w, f) -> f.minus(step.amounts));
+                    put(index, naive, worker, free.get(worker));
+                    running.add(Map.entry(worker, step.amounts));
+                });
+            }
+        }
+    }
+
+    private static void put(WorkerIndex index, NaivePlacement naive, String id, Amounts free)
+    {
+        index.put(id, capacityOf(id), free);
+        naive.put(id, capacityOf(id), free);
+    }
+
+    private static Amounts capacityOf(String id)
+    {
+        return Integer.parseInt(id.substring(1)) % 3 == 0
+                ? new Amounts(8, 16_000, 32_768, 2)
+                : new Amounts(8, 32_000, 65_536, 0);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/NaivePlacement.java
@@ -0,0 +1,53 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.gaugehollow.model.Amounts;
+
+/** The naive twin of the engine's index: looks at every worker anew for every task. */
+final class NaivePlacement
+{
+    private final Map<String, WorkerIndex.State> workers = new TreeMap<>();
+    private final WorkerScore score;
+
+    NaivePlacement(WorkerScore score)
+    {
+        this.score = score;
+    }
+
+    void put(String worker, Amounts capacity, Amounts free)
+    {
+        workers.put(worker, new WorkerIndex.State(capacity, free));
+    }
+
+    void remove(String worker)
+    {
+        workers.remove(worker);
+    }
+
+    Optional<String> choose(Amounts demand)
+    {
+        String best = null;
+        double bestScore = 0;
+        for (Map.Entry<String, WorkerIndex.State> worker : workers.entrySet())
+        {
+            WorkerIndex.State state = worker.getValue();
+            if (state.free().fits(demand))
+            {
+                double rated = score.score(state.capacity(), state.free(), demand);
+                if (best == null || rated < bestScore)
+                {
+                    best = worker.getKey();
+                    bestScore = rated;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/PlacementEngineTest.java
@@ -0,0 +1,237 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.PolicySpec;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TaskClass;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The engine's counting, queueing, shares and swaps. */
+class PlacementEngineTest
+{
+    private static final Amounts ONE_SLOT = new Amounts(1, 0, 0, 0);
+    private static final Amounts WORKER = new Amounts(4, 4_000, 8_192, 0);
+    private final PolicyRegistry registry = new PolicyRegistry();
+    private PlacementEngine engine;
+    private int tasks;
+
+    @BeforeEach
+    void start()
+    {
+        engine = engine(EngineLimits.defaults());
+    }
+
+    private PlacementEngine engine(EngineLimits limits)
+    {
+        return new PlacementEngine(limits, book("waiting-first"), System::nanoTime);
+    }
+
+    private PolicyBook book(String type)
+    {
+        PlacementPolicy policy = registry.create(new PolicySpec(type, null, null));
+        return new PolicyBook(Map.of(), Map.of(), new PolicyBook.Named(type, policy));
+    }
+
+    private TaskDemand demand(TaskClass taskClass, String team, int weight, int limit)
+    {
+        tasks++;
+        return new TaskDemand("t" + tasks, taskClass, team, weight, limit, ONE_SLOT, inSeconds(30));
+    }
+
+    private static long inSeconds(int seconds)
+    {
+        return System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    }
+
+    /** Starts to place a task and returns when the task waits or is decided. */
+    private CompletableFuture<Placement> placeLater(TaskDemand demand) throws InterruptedException
+    {
+        CompletableFuture<Placement> result = new CompletableFuture<>();
+        Thread placing = Thread.startVirtualThread(() ->
+        {
+            try
+            {
+                result.complete(engine.place(demand, inSeconds(30)));
+            }
+            catch (GaugehollowException | InterruptedException e)
+            {
+                result.completeExceptionally(e);
+            }
+        });
+        while (placing.getState() != Thread.State.TIMED_WAITING && !result.isDone())
+        {
+            Thread.sleep(1);
+        }
+        return result;
+    }
+
+    @Test
+    void neverMoreThanAWorkerHolds()
+    {
+        engine.putWorker("w1", 1, WORKER, new Amounts(1, 0, 0, 0), true);
+        List<Placement> placed = new ArrayList<>();
+        for (Optional<Placement> p = engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0)); p
+                .isPresent(); p = engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0)))
+        {
+            placed.add(p.get());
+        }
+        assertThat(placed).hasSize(3);
+        engine.release(placed.getFirst());
+        assertThat(engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0))).isPresent();
+        assertThat(engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0))).isEmpty();
+    }
+
+    @Test
+    void aReleaseAfterAChangeOfOwnerFreesNothingTwice()
+    {
+        engine.putWorker("w1", 1, WORKER, Amounts.NONE, true);
+        Placement old = engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0)).orElseThrow();
+        engine.removeWorker("w1");
+        engine.putWorker("w1", 3, WORKER, ONE_SLOT, true);
+        engine.release(old);
+        engine.release(old);
+        assertThat(engine.free().slots()).isEqualTo(3);
+    }
+
+    @Test
+    void urgentWorkGoesBeforeBookingsAndThoseBeforeBatch() throws Exception
+    {
+        engine.putWorker("w1", 1, ONE_SLOT, Amounts.NONE, true);
+        Placement running = engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0)).orElseThrow();
+        CompletableFuture<Placement> booking = placeLater(demand(TaskClass.BOOKING, "a", 1, 0));
+        CompletableFuture<Placement> urgent = placeLater(demand(TaskClass.URGENT, "a", 1, 0));
+        engine.release(running);
+        Placement first = urgent.get(10, TimeUnit.SECONDS);
+        assertThat(booking.isDone()).isFalse();
+        engine.release(first);
+        assertThat(booking.get(10, TimeUnit.SECONDS).worker()).isEqualTo("w1");
+    }
+
+    @Test
+    void teamsShareByWeightAndNoneStarves() throws Exception
+    {
+        engine.putWorker("w1", 1, ONE_SLOT, Amounts.NONE, true);
+        Placement running = engine.tryPlace(demand(TaskClass.BOOKING, "z", 1, 0)).orElseThrow();
+        List<CompletableFuture<Placement>> waiting = new ArrayList<>();
+        for (int i = 0; i < 30; i++)
+        {
+            waiting.add(placeLater(demand(TaskClass.BOOKING, "heavy", 3, 0)));
+        }
+        for (int i = 0; i < 10; i++)
+        {
+            waiting.add(placeLater(demand(TaskClass.BOOKING, "light", 1, 0)));
+        }
+        int heavy = 0;
+        for (int i = 0; i < 20; i++)
+        {
+            engine.release(running);
+            running = nextDone(waiting);
+            heavy += "heavy".equals(running.demand().team()) ? 1 : 0;
+        }
+        assertThat(heavy).isAtLeast(13);
+        assertThat(heavy).isAtMost(17);
+    }
+
+    private static Placement nextDone(List<CompletableFuture<Placement>> waiting) throws Exception
+    {
+        while (true)
+        {
+            for (CompletableFuture<Placement> each : waiting)
+            {
+                if (each.isDone())
+                {
+                    waiting.remove(each);
+                    return each.get();
+                }
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    @Test
+    void batchLeavesRoomForUrgentWork()
+    {
+        for (int i = 0; i < 5; i++)
+        {
+            engine.putWorker("w" + i, 1, WORKER, Amounts.NONE, true);
+        }
+        int batch = 0;
+        while (engine.tryPlace(demand(TaskClass.BATCH, "a", 1, 0)).isPresent())
+        {
+            batch++;
+        }
+        assertThat(batch).isEqualTo(17);
+        assertThat(engine.tryPlace(demand(TaskClass.URGENT, "a", 1, 0))).isPresent();
+    }
+
+    @Test
+    void aTeamGetsNoMoreThanItsQuota()
+    {
+        engine.putWorker("w1", 1, WORKER, Amounts.NONE, true);
+        assertThat(engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 2))).isPresent();
+        assertThat(engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 2))).isPresent();
+        assertThat(engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 2))).isEmpty();
+        assertThat(engine.tryPlace(demand(TaskClass.BOOKING, "b", 1, 2))).isPresent();
+    }
+
+    @Test
+    void aFullQueueShedsTheLeastUrgentFirst() throws Exception
+    {
+        engine = engine(new EngineLimits(Map.of(), 2, 1));
+        CompletableFuture<Placement> batch = placeLater(demand(TaskClass.BATCH, "a", 1, 0));
+        CompletableFuture<Placement> booking = placeLater(demand(TaskClass.BOOKING, "a", 1, 0));
+        CompletableFuture<Placement> urgent = placeLater(demand(TaskClass.URGENT, "a", 1, 0));
+        Exception shed = assertThrows(Exception.class, () -> batch.get(10, TimeUnit.SECONDS));
+        assertThat(((GaugehollowException) shed.getCause()).code()).isEqualTo(ResultCode.PREEMPTED);
+        GaugehollowException full = assertThrows(GaugehollowException.class,
+                () -> engine.place(demand(TaskClass.BATCH, "a", 1, 0), inSeconds(30)));
+        assertThat(full.code()).isEqualTo(ResultCode.QUEUE_FULL);
+        assertThat(booking.isDone() || urgent.isDone()).isFalse();
+    }
+
+    @Test
+    void aSwapOfPoliciesLosesAndReordersNothing() throws Exception
+    {
+        engine.putWorker("w1", 1, ONE_SLOT, Amounts.NONE, true);
+        Placement running = engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 0)).orElseThrow();
+        List<CompletableFuture<Placement>> waiting = new ArrayList<>();
+        for (int i = 0; i < 20; i++)
+        {
+            waiting.add(placeLater(demand(TaskClass.BOOKING, "a", 1, 0)));
+        }
+        String[] types = {"packing-first", "round-robin", "waiting-first", "random"};
+        for (int i = 0; i < 20; i++)
+        {
+            engine.usePolicies(book(types[i % types.length]));
+            assertThat(waiting.get(i).isDone()).isFalse();
+            engine.release(running);
+            running = waiting.get(i).get(10, TimeUnit.SECONDS);
+            assertThat(running.policy()).isEqualTo(types[i % types.length]);
+        }
+    }
+
+    @Test
+    void aTaskThatFindsNoRoomInTimeSaysSo()
+    {
+        GaugehollowException none = assertThrows(GaugehollowException.class,
+                () -> engine.place(demand(TaskClass.URGENT, "a", 1, 0), System.nanoTime() + 1_000_000));
+        assertThat(none.code()).isEqualTo(ResultCode.NO_ROOM);
+        assertThat(engine.waiting()).isEqualTo(0);
+    }
+}
