--- a/gaugehollow-bench/src/main/java/org/gaugehollow/bench/PackingExperiment.java
+++ b/gaugehollow-bench/src/main/java/org/gaugehollow/bench/PackingExperiment.java
@@ -113,7 +113,7 @@
         {
             return new Amounts(1, random.nextInt(500, 2_000), random.nextInt(4_096, 12_288), 0);
         }
-        if (kind < 94)
+        if (kind < 97)
         {
             return new Amounts(1, random.nextInt(2_000, 6_000), random.nextInt(1_024, 4_096), 0);
         }
--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/WorkerStandinCommand.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/WorkerStandinCommand.java
@@ -28,6 +28,8 @@
 final class WorkerStandinCommand implements Command
 {
     private static final int TIMEOUT_MILLIS = 2_000;
+    /** For so long a leaving worker still refuses new requests before it ends. */
+    private static final long LINGER_MILLIS = 1_500;
 
     @Parameter(names = "--listen", description = "where to listen")
     private String listen = "127.0.0.1:0";
@@ -98,6 +100,7 @@
         {
             worker.leave();
             announce(caller, worker.rosterLine(advertised, "leaving", false));
+            Thread.sleep(LINGER_MILLIS);
             worker.drain();
             announce(caller, worker.rosterLine(advertised, "leaving", true));
         }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/BackgroundLoad.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/BackgroundLoad.java
@@ -16,7 +16,11 @@
 /** Callers that ask without pause until they are stopped, and remember every answer. */
 final class BackgroundLoad
 {
-    private static final int TIMEOUT_MILLIS = 8_000;
+    private static final int LONG_TIMEOUT_MILLIS = 8_000;
+    private static final int SHORT_TIMEOUT_MILLIS = 3_000;
+
+    private final String prefix;
+    private final int timeoutMillis;
 
     private final Map<String, HttpReply> replies = new ConcurrentHashMap<>();
     private final AtomicBoolean running = new AtomicBoolean(true);
@@ -26,6 +30,14 @@
     /** Starts callers that go round the boxes; keyed requests get a new key each. */
     BackgroundLoad(TestCell cell, List<TestBox> boxes, int count, String workload, int millis)
     {
+        this(cell, boxes, count, workload, millis, "load");
+    }
+
+    /** The same, with names of their own for the requests and callers of less patience. */
+    BackgroundLoad(TestCell cell, List<TestBox> boxes, int count, String workload, int millis, String prefix)
+    {
+        this.prefix = prefix;
+        this.timeoutMillis = "load".equals(prefix) ? LONG_TIMEOUT_MILLIS : SHORT_TIMEOUT_MILLIS;
         for (int i = 0; i < count; i++)
         {
             callers.add(Thread.startVirtualThread(() -> askUntilStopped(cell, boxes, workload, millis)));
@@ -39,10 +51,10 @@
             while (running.get())
             {
                 int number = next.getAndIncrement();
-                String key = "goal".equals(workload) ? "load-" + number : null;
-                String body = "{\"millis\":" + millis + ",\"echo\":\"load-" + number + "\"}";
+                String key = "goal".equals(workload) ? prefix + '-' + number : null;
+                String body = "{\"millis\":" + millis + ",\"echo\":\"" + prefix + '-' + number + "\"}";
                 TestBox box = boxes.get(number % boxes.size());
-                replies.put("load-" + number, cell.ask(box, workload, key, body, TIMEOUT_MILLIS));
+                replies.put(prefix + '-' + number, cell.ask(box, workload, key, body, timeoutMillis));
             }
         }
         catch (InterruptedException e)
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/HallCutTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/HallCutTest.java
@@ -111,4 +111,19 @@
             assertThat(box.operator("GET", "/v1/workloads/inside", new byte[0]).status()).isEqualTo(404);
         }
     }
+
+    @Test
+    void aKeyWhoseHallIsGoneIsNotRunOnlyForACallerWhoNeverSentItBefore() throws Exception
+    {
+        TestBox outside = cell.boxesOf("bole").get(0);
+        cell.boxesOf("kality").forEach(box -> box.process.kill());
+        cell.closePeerHops("kality");
+        HttpReply again = cell.ask(outside, "goal", "team-kality", "k-2", BODY, 2_000);
+        assertThat(TestCell.code(again)).isEqualTo("4007");
+        assertThat(again.headers().get("Retry-After")).isNotNull();
+        HttpReply first = cell.askFirst(outside, "goal", "team-kality", "k-3", BODY, 2_000);
+        assertThat(TestCell.code(first)).isEqualTo("3005");
+        assertThat(TestCell.outcome(first)).isEqualTo("not-run");
+        assertThat(cell.startsOfKey("k-2") + cell.startsOfKey("k-3")).isEqualTo(0);
+    }
 }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/NotRunTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/NotRunTest.java
@@ -4,6 +4,10 @@
  */
 package org.gaugehollow.daemon;
 
+import java.util.concurrent.Callable;
+
+import java.util.ArrayList;
+
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -99,4 +103,26 @@
         });
         assertThat(cell.overloads()).isEqualTo(0);
     }
+
+    @Test
+    void aRequestThatMayHaveRunIsNeverTriedAgain() throws Exception
+    {
+        List<Callable<HttpReply>> asks = new ArrayList<>();
+        for (int i = 0; i < 40; i++)
+        {
+            String body = "{\"millis\":5,\"echo\":\"once-" + i + "\",\"behave\":\""
+                    + (i % 2 == 0 ? "drop" : "cut") + "\"}";
+            TestBox box = List.copyOf(cell.boxes.values()).get(i % 3);
+            asks.add(() -> cell.ask(box, "lookup", null, body, 5_000));
+        }
+        for (HttpReply reply : WholePathTest.all(asks, 8))
+        {
+            assertThat(TestCell.outcome(reply)).isAnyOf("unknown", "not-run");
+        }
+        for (int i = 0; i < 40; i++)
+        {
+            String echo = "\"once-" + i + "\"";
+            assertThat(cell.starts().stream().filter(s -> s.body().contains(echo)).count()).isAtMost(1);
+        }
+    }
 }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/OwnershipTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/OwnershipTest.java
@@ -138,4 +138,20 @@
         assertThat(cell.overloads()).isEqualTo(0);
         TestCell.await("the room is free again", () -> box.status().path("free").path("slots").asInt() == 4);
     }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNewOwnerCountsWhatTheKilledOneStarted(boolean fencing) throws Exception
+    {
+        cell = TestCell.started(new CellOptions(List.of("bole"), 3, 3, 4, fencing));
+        BackgroundLoad load = new BackgroundLoad(cell,
+                List.of(cell.boxes.get("bole-2"), cell.boxes.get("bole-3")), 40, "lookup", 6_000);
+        TestCell.await("all slots are taken", () -> cell.starts().size() >= 12);
+        cell.boxes.get("bole-1").process.kill();
+        TestBox other = cell.boxes.get("bole-2");
+        TestCell.await("its workers are taken over", () -> other.status().path("boxes").size() == 2);
+        TestCell.await("later requests ran", () -> cell.starts().size() >= 24);
+        load.stop();
+        assertThat(cell.overloads()).isEqualTo(0);
+    }
 }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/StopTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/StopTest.java
@@ -4,6 +4,10 @@
  */
 package org.gaugehollow.daemon;
 
+import java.util.concurrent.CompletableFuture;
+
+import java.util.ArrayList;
+
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -72,4 +76,38 @@
                 (key, reply) -> assertWithMessage(key + ' ' + reply.status() + ' ' + TestCell.text(reply))
                         .that(TestCell.outcome(reply)).isEqualTo("answered"));
     }
+
+    @Test
+    void aPlannedStopWaitsForLongRequestsInFlight() throws Exception
+    {
+        TestBox leaving = cell.boxes.get("bole-1");
+        List<CompletableFuture<HttpReply>> asks = new ArrayList<>();
+        for (int i = 0; i < 8; i++)
+        {
+            String key = i % 2 == 0 ? "long-" + i : null;
+            asks.add(CompletableFuture.supplyAsync(() -> askLong(leaving, key), Thread::startVirtualThread));
+        }
+        TestCell.await("they run", () -> cell.starts().size() == 8);
+        leaving.process.terminate();
+        for (CompletableFuture<HttpReply> ask : asks)
+        {
+            assertWithMessage(TestCell.text(ask.join())).that(TestCell.outcome(ask.join()))
+                    .isEqualTo("answered");
+        }
+        leaving.process.awaitEnd();
+        assertThat(cell.starts()).hasSize(8);
+    }
+
+    private HttpReply askLong(TestBox box, String key)
+    {
+        try
+        {
+            return cell.ask(box, key == null ? "lookup" : "goal", key, "{\"millis\":5000,\"echo\":\"long\"}",
+                    12_000);
+        }
+        catch (InterruptedException e)
+        {
+            throw new IllegalStateException(e);
+        }
+    }
 }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -234,8 +234,21 @@
         return ask(box, workload, "team-" + box.hall, key, body, timeoutMillis);
     }
 
+    /** The same, by a caller who says that it never sent the key before. */
+    HttpReply askFirst(TestBox box, String workload, String team, String key, String body, int timeoutMillis)
+            throws InterruptedException
+    {
+        return ask(box, workload, team, key, body, timeoutMillis, true);
+    }
+
     HttpReply ask(TestBox box, String workload, String team, String key, String body, int timeoutMillis)
             throws InterruptedException
+    {
+        return ask(box, workload, team, key, body, timeoutMillis, false);
+    }
+
+    private HttpReply ask(TestBox box, String workload, String team, String key, String body,
+            int timeoutMillis, boolean first) throws InterruptedException
     {
         HttpHeaders headers = new DefaultHttpHeaders().set(UpstreamHeaders.TEAM, team)
                 .set(UpstreamHeaders.TIMEOUT, timeoutMillis).set("Content-Type", "application/json");
@@ -244,6 +257,10 @@
             headers.set(UpstreamHeaders.KEY, key);
             headers.set(UpstreamHeaders.KEY_ISSUED, issuedAt(key));
         }
+        if (first)
+        {
+            headers.set(UpstreamHeaders.ATTEMPT, 1);
+        }
         HttpMessage message = new HttpMessage("POST", "/v1/workloads/" + workload + "/requests", "", headers,
                 body.getBytes(StandardCharsets.UTF_8));
         try (HttpCaller caller = new HttpCaller(loops, NetAddress.parse(box.callers)))
@@ -467,4 +484,16 @@
         });
         loops.close();
     }
+
+    /**
+     * Ends the hops in front of a hall's boxes, so that their addresses refuse connections as dead
+     * boxes' do.
+     */
+    void closePeerHops(String hall) throws IOException
+    {
+        for (TestBox box : boxesOf(hall))
+        {
+            hops.get("peer-" + box.name).close();
+        }
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
@@ -31,10 +31,12 @@
     private final WorkerIndex index = new WorkerIndex();
     private final WaitingQueue queue = new WaitingQueue();
     private final Map<String, Integer> runningByTeam = new HashMap<>();
+    private final ServiceRate rate = new ServiceRate();
     private final EngineLimits limits;
     private final LongSupplier nanoTime;
     private PolicyBook policies;
     private int batchSlots;
+    private int totalSlots;
     private long sequence;
 
     /**
@@ -84,6 +86,7 @@
         try
         {
             OwnedWorker owned = workers.computeIfAbsent(worker, OwnedWorker::new);
+            totalSlots += capacity.slots() - owned.capacity().slots();
             owned.update(epoch, capacity, foreign, accepting);
             reindex(owned);
             serveWaiting();
@@ -129,7 +132,8 @@
         lock.lock();
         try
         {
-            workers.remove(worker);
+            OwnedWorker owned = workers.remove(worker);
+            totalSlots -= owned == null ? 0 : owned.capacity().slots();
             index.remove(worker);
         }
         finally
@@ -209,7 +213,12 @@
             {
                 reindex(owned);
             }
+            rate.released(nanoTime.getAsLong());
             serveWaiting();
+            if (queue.size() == 0)
+            {
+                rate.waitingEnded();
+            }
         }
         finally
         {
@@ -236,20 +245,6 @@
         }
     }
 
-    /** @return what all owned workers hold together */
-    public Amounts capacity()
-    {
-        lock.lock();
-        try
-        {
-            return totalCapacity();
-        }
-        finally
-        {
-            lock.unlock();
-        }
-    }
-
     /** @return how many tasks wait */
     public int waiting()
     {
@@ -344,20 +339,40 @@
 
     private Waiter enqueue(TaskDemand demand)
     {
+        long now = nanoTime.getAsLong();
         if (queue.size(demand.taskClass()) >= limits.waitingOf(demand.taskClass()))
         {
             throw new GaugehollowException(ResultCode.QUEUE_FULL,
                     "too many " + demand.taskClass().label() + " tasks wait already");
         }
+        refuseIfHopeless(demand, now);
         if (queue.size() >= limits.waitingInAll())
         {
             shedFor(demand);
         }
-        Waiter waiter = new Waiter(demand, nanoTime.getAsLong(), sequence++);
+        if (queue.size() == 0)
+        {
+            rate.waitingBegan(now);
+        }
+        Waiter waiter = new Waiter(demand, now, sequence++);
         queue.add(waiter);
         return waiter;
     }
 
+    /**
+     * A task whose turn would come after its caller has gone is refused at once, and told when to come
+     * back.
+     */
+    private void refuseIfHopeless(TaskDemand demand, long now)
+    {
+        long expected = rate.estimateNanos(queue.sizeUpTo(demand.taskClass()));
+        if (expected > demand.deadlineNanos() - now)
+        {
+            throw new GaugehollowException(ResultCode.QUEUE_FULL, "its turn would come too late, in about "
+                    + TimeUnit.NANOSECONDS.toMillis(expected) + " ms");
+        }
+    }
+
     private void shedFor(TaskDemand demand)
     {
         Waiter shed = queue.leastUrgentBelow(demand.taskClass()).orElseThrow(
@@ -422,17 +437,7 @@
         {
             return true;
         }
-        return batchSlots + demand.needs().slots() <= totalCapacity().slots() * limits.batchShare();
-    }
-
-    private Amounts totalCapacity()
-    {
-        Amounts sum = Amounts.NONE;
-        for (OwnedWorker owned : workers.values())
-        {
-            sum = sum.plus(owned.capacity());
-        }
-        return sum;
+        return batchSlots + demand.needs().slots() <= totalSlots * limits.batchShare();
     }
 
     private void reindex(OwnedWorker owned)
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/WaitingQueue.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/WaitingQueue.java
@@ -87,6 +87,17 @@
                 .sum();
     }
 
+    /** How many tasks of this class and of more urgent ones wait. */
+    int sizeUpTo(TaskClass taskClass)
+    {
+        int sum = 0;
+        for (TaskClass each : TaskClass.values())
+        {
+            sum += each.ordinal() <= taskClass.ordinal() ? size(each) : 0;
+        }
+        return sum;
+    }
+
     /** @return the heads of the teams' lines in the order in which they are to be served */
     List<Waiter> heads()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/placement/PlacementEngineTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/PlacementEngineTest.java
@@ -234,4 +234,33 @@
         assertThat(none.code()).isEqualTo(ResultCode.NO_ROOM);
         assertThat(engine.waiting()).isEqualTo(0);
     }
+
+    @Test
+    void aTaskWhoseTurnWouldComeTooLateIsRefusedAtOnce() throws Exception
+    {
+        java.util.concurrent.atomic.AtomicLong clock = new java.util.concurrent.atomic.AtomicLong(1);
+        engine = new PlacementEngine(EngineLimits.defaults(), book("waiting-first"), clock::get);
+        engine.putWorker("w1", 1, ONE_SLOT, Amounts.NONE, true);
+        Placement running = engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 0)).orElseThrow();
+        List<CompletableFuture<Placement>> waiting = new ArrayList<>();
+        for (int i = 0; i < 5; i++)
+        {
+            waiting.add(placeLater(demand(TaskClass.BOOKING, "a", 1, 0)));
+        }
+        clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        engine.release(running);
+        running = waiting.getFirst().get(10, TimeUnit.SECONDS);
+        TaskDemand hasTime = new TaskDemand("t-long", TaskClass.BOOKING, "a", 1, 0, ONE_SLOT,
+                clock.get() + TimeUnit.SECONDS.toNanos(5));
+        TaskDemand hasNoTime = new TaskDemand("t-short", TaskClass.BOOKING, "a", 1, 0, ONE_SLOT,
+                clock.get() + TimeUnit.SECONDS.toNanos(3));
+        TaskDemand urgent = new TaskDemand("t-urgent", TaskClass.URGENT, "a", 1, 0, ONE_SLOT,
+                clock.get() + TimeUnit.SECONDS.toNanos(3));
+        GaugehollowException refused = assertThrows(GaugehollowException.class,
+                () -> engine.place(hasNoTime, hasNoTime.deadlineNanos()));
+        assertThat(refused.code()).isEqualTo(ResultCode.QUEUE_FULL);
+        assertThat(placeLater(hasTime).isDone()).isFalse();
+        assertThat(placeLater(urgent).isDone()).isFalse();
+        assertThat(running.worker()).isEqualTo("w1");
+    }
 }
