--- a/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
@@ -77,7 +77,7 @@
     private static final int MILLIS = 1_000;
     private static final int BURST_SECONDS = 2;
     private static final int PERCENT = 100;
-    private static final long MATCH_MILLIS = 100;
+    private static final long MATCH_MILLIS = 200;
     private static final long FORGET_MILLIS = 1_000;
     private static final long READY_GRACE_MILLIS = 300;
     private static final long DRAIN_STEP_MILLIS = 20;
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/PauseDetector.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PauseDetector.java
@@ -18,7 +18,7 @@
  */
 final class PauseDetector implements SupervisedTask
 {
-    private static final long TICK_MILLIS = 50;
+    private static final long TICK_MILLIS = 100;
 
     private final long pauseMillis;
     private final Rights rights;
