Packing first: count accelerators that a task would strand

Cause: with packing-first 20 % of the accelerators (median) were free on workers without room for a task that uses one when the first task was refused.

Ruled out: a larger reserve; it already keeps other tasks off while there is any other room.

Change: a task that would leave a free accelerator without 4 processors and 8 GiB beside it costs the worker 100 for each (parameter strandWeight).

--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PolicyRegistry.java
@@ -22,10 +22,12 @@
     public static final String PACKING_FIRST = "packing-first";
     private static final String RESERVE = "acceleratorReserve";
     private static final String BALANCE = "balanceWeight";
+    private static final String STRAND = "strandWeight";
     private static final String SEED = "seed";
     private static final double DEFAULT_WAITING_RESERVE = 0.25;
     private static final double DEFAULT_PACKING_RESERVE = 10;
     private static final double DEFAULT_BALANCE = 1;
+    private static final double DEFAULT_STRAND = 100;
     private static final double LARGEST_PARAMETER = 1_000_000;
 
     private record Entry(List<String> parameters, Function<Map<String, Double>, PlacementPolicy> factory)
@@ -39,9 +41,9 @@
     {
         register(WAITING_FIRST, List.of(RESERVE), p -> new ScoredPolicy(
                 new WaitingFirstScore(p.getOrDefault(RESERVE, DEFAULT_WAITING_RESERVE))));
-        register(PACKING_FIRST, List.of(RESERVE, BALANCE),
+        register(PACKING_FIRST, List.of(RESERVE, BALANCE, STRAND),
                 p -> new ScoredPolicy(new PackingFirstScore(p.getOrDefault(RESERVE, DEFAULT_PACKING_RESERVE),
-                        p.getOrDefault(BALANCE, DEFAULT_BALANCE))));
+                        p.getOrDefault(BALANCE, DEFAULT_BALANCE), p.getOrDefault(STRAND, DEFAULT_STRAND))));
         register("random", List.of(SEED), p -> new RandomPolicy(p.getOrDefault(SEED, 1.0).longValue()));
         register("round-robin", List.of(), p -> new RoundRobinPolicy());
         register("first-fit", List.of(),
--- a/gaugehollow/src/test/java/org/gaugehollow/placement/IndexDifferentialTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/IndexDifferentialTest.java
@@ -51,7 +51,7 @@
     @Property(tries = 300, seed = "4712")
     void packingFirst(@ForAll("histories") List<Step> history)
     {
-        replay(history, new PackingFirstScore(10, 1));
+        replay(history, new PackingFirstScore(10, 1, 100));
     }
 
     private static void replay(List<Step> history, WorkerScore score)
