--- a/gaugehollow-bench/src/main/java/org/gaugehollow/bench/PackingExperiment.java
+++ b/gaugehollow-bench/src/main/java/org/gaugehollow/bench/PackingExperiment.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -64,7 +65,7 @@
                 "each cell: median (least to most) over " + SEEDS + " sequences, the same for every policy");
     }
 
-    private static String spread(List<Fill> fills, java.util.function.ToDoubleFunction<Fill> value)
+    private static String spread(List<Fill> fills, ToDoubleFunction<Fill> value)
     {
         double[] sorted = fills.stream().mapToDouble(value).sorted().toArray();
         return String.format("%.1f (%.1f to %.1f)", sorted[sorted.length / 2], sorted[0],
--- a/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.function.DoubleSupplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -78,7 +79,7 @@
      * @param help one sentence
      * @param value reads it
      */
-    public void gauge(String name, String help, java.util.function.DoubleSupplier value)
+    public void gauge(String name, String help, DoubleSupplier value)
     {
         GaugeWithCallback.builder().name(name).help(help).callback(c -> c.call(value.getAsDouble()))
                 .register(registry);
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/PeerView.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/PeerView.java
@@ -14,7 +14,6 @@
 {
     private BoxStatus status;
     private boolean reachable;
-    private boolean everAsked;
     private long repliedPingSentAt;
     private boolean vouches;
     private long vouchedPingSentAt;
@@ -30,7 +29,6 @@
     {
         status = newStatus;
         reachable = true;
-        everAsked = true;
         repliedPingSentAt = sentAt;
         if (vouching)
         {
@@ -43,7 +41,6 @@
     synchronized void failed()
     {
         reachable = false;
-        everAsked = true;
     }
 
     /** @return whether the last ping was answered */
@@ -52,12 +49,6 @@
         return reachable;
     }
 
-    /** @return whether any ping ended, with or without an answer */
-    public synchronized boolean everAsked()
-    {
-        return everAsked;
-    }
-
     /** @return what the peer said last, if it ever answered */
     public synchronized Optional<BoxStatus> status()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/RosterKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/RosterKeeper.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 
 import org.gaugehollow.event.EventLog;
@@ -32,7 +31,6 @@
     private final BooleanSupplier isRelay;
     private final long periodMillis;
     private final EventLog events;
-    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private Map<String, Worker> workers = Map.of();
     private long version;
     private boolean readable = true;
@@ -54,14 +52,6 @@
         this.events = events;
     }
 
-    /**
-     * @param listener is told when the list changed; it must return at once
-     */
-    public void addListener(Runnable listener)
-    {
-        listeners.add(listener);
-    }
-
     @Override
     public void run() throws InterruptedException
     {
@@ -146,6 +136,5 @@
             workers = Map.copyOf(byId);
         }
         events.record(EventType.ROSTER_CHANGED, hall, byId.size() + " workers");
-        listeners.forEach(Runnable::run);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
@@ -91,12 +91,6 @@
         return answering;
     }
 
-    /** Marks this box as leaving, so that nobody adds it to the map again. */
-    public void markLeaving()
-    {
-        leaving = true;
-    }
-
     /**
      * Registers the leaving mark at once.
      *
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -42,7 +42,6 @@
     HALL_UNREACHABLE(3005, 503, Outcome.NOT_RUN, 5000, "The key's home hall cannot be reached."),
     NO_COPY(3006, 503, Outcome.NOT_RUN, 2000,
             "The key's record could not be copied to a second box, so it was not run."),
-    STOPPING(3007, 503, Outcome.NOT_RUN, 100, "This box is stopping; ask another one."),
     UPSTREAM_REFUSED(3008, 503, Outcome.NOT_RUN, 200, "The upstream refused the request before running it."),
     FENCED(3009, 503, Outcome.NOT_RUN, 200, "The upstream belongs to a newer owner and refused the request."),
     CONFIG_NOT_READY(3010, 503, Outcome.NOT_RUN, 1000, "This box has no configuration yet."),
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/OwnedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/OwnedWorker.java
@@ -79,9 +79,4 @@
     {
         accepting = value;
     }
-
-    int running()
-    {
-        return running.size();
-    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PlacementEngine.java
@@ -146,9 +146,7 @@
      * Places a task now or not at all, behind those that wait already.
      *
      * @param demand the task
-     * @return the decision, or empty where there is no room
-     * @throws GaugehollowException with {@link ResultCode#QUOTA_EXCEEDED} if the team's quota is used
-     *             up
+     * @return the decision, or empty where there is no room up
      */
     public Optional<Placement> tryPlace(TaskDemand demand)
     {
@@ -259,24 +257,6 @@
         }
     }
 
-    /**
-     * @param worker a worker's id
-     * @return how many tasks of this box run there
-     */
-    public int runningOn(String worker)
-    {
-        lock.lock();
-        try
-        {
-            OwnedWorker owned = workers.get(worker);
-            return owned == null ? 0 : owned.running();
-        }
-        finally
-        {
-            lock.unlock();
-        }
-    }
-
     private Placement await(Waiter waiter, long untilNanos) throws InterruptedException
     {
         try
