Wait for rights instead of spending the retry budget on them

Cause: between the loss of a lease and its renewal, a waiting request was placed and refused with 3004 in a tight loop, which used up the budget of retries and ended the request although the rights came back.

Ruled out: a larger budget; the loop has no end of its own.

Change: a request sleeps its share of waiting while the box has no rights.

FaultScheduleTest and OwnershipTest cover the path.

--- a/gaugehollow/src/main/java/org/gaugehollow/entry/LocalRunner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/LocalRunner.java
@@ -121,8 +121,13 @@
     private Optional<Answer> waitForRoom(CallerRequest request, WorkloadSpec workload, TaskDemand demand,
             long waitMillis) throws InterruptedException
     {
+        if (!support.rights().valid())
+        {
+            Thread.sleep(Math.min(waitMillis, request.remainingMillis()));
+            return Optional.empty();
+        }
         long wakeAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-        long until = Math.min(wakeAt - request.deadlineNanos(), 0) + request.deadlineNanos();
+        long until = wakeAt - request.deadlineNanos() < 0 ? wakeAt : request.deadlineNanos();
         try
         {
             return Optional.of(dispatch(engine.place(demand, until), request, workload));
