--- a/build/measure.sh
+++ b/build/measure.sh
@@ -5,7 +5,12 @@
 home="$(cd "$(dirname "$0")/.." && pwd)"
 what="$1"; boxes="$2"; workers="$3"
 dir="$(mktemp -d)"
-trap 'xargs -r kill < "$dir/pids" 2>/dev/null || true' EXIT
+stop_cell()
+{
+    xargs -r kill -9 < "$dir/pids" 2>/dev/null || true
+    while xargs -r kill -0 < "$dir/pids" 2>/dev/null; do sleep 0.2; done
+}
+trap stop_cell EXIT
 "$home/build/start-cell.sh" "$dir" "$boxes" "$workers" > /dev/null
 pid() { awk -v n="$1" '$1==n{print $2}' "$dir/ids"; }
 ticks() { awk '{print $14+$15}' "/proc/$(pid "$1")/stat"; }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/ConfigurationTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/ConfigurationTest.java
@@ -14,6 +14,7 @@
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpCaller;
+import org.gaugehollow.net.HttpConnection;
 import org.gaugehollow.net.HttpMessage;
 import org.gaugehollow.net.HttpReply;
 import org.gaugehollow.net.NetAddress;
@@ -147,7 +148,7 @@
         List<Long> seen = new ArrayList<>();
         StringBuilder partial = new StringBuilder();
         try (HttpCaller caller = new HttpCaller(cell.loops, NetAddress.parse(watched.operators));
-                org.gaugehollow.net.HttpConnection stream = caller.openOwn(2_000))
+                HttpConnection stream = caller.openOwn(2_000))
         {
             stream.openStream(new HttpMessage("GET", "/v1/workloads", "watch=true&from=" + from,
                     new DefaultHttpHeaders(), new byte[0]), System.nanoTime() + 5_000_000_000L);
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/OwnershipTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/OwnershipTest.java
@@ -6,7 +6,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 
 import org.gaugehollow.net.HttpReply;
 import org.gaugehollow.standin.PlatformSwitches;
@@ -126,7 +128,7 @@
     {
         cell = TestCell.started(new CellOptions(List.of("bole"), 2, 2, 4, true));
         TestBox box = cell.boxes.get("bole-1");
-        List<java.util.concurrent.Callable<HttpReply>> asks = new java.util.ArrayList<>();
+        List<Callable<HttpReply>> asks = new ArrayList<>();
         for (int i = 0; i < 120; i++)
         {
             asks.add(() -> cell.ask(box, "lookup", null, "{\"millis\":700,\"echo\":\"late\"}", 150));
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestBox.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestBox.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.daemon;
 
+import java.nio.charset.StandardCharsets;
+
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpCaller;
@@ -64,8 +66,7 @@
     /** The value of a metric without labels, or the sum over all its labels. */
     double metric(String metric) throws InterruptedException
     {
-        String text = new String(operator("GET", "/metrics", new byte[0]).body(),
-                java.nio.charset.StandardCharsets.UTF_8);
+        String text = new String(operator("GET", "/metrics", new byte[0]).body(), StandardCharsets.UTF_8);
         return text.lines().filter(line -> line.startsWith(metric + ' ') || line.startsWith(metric + '{'))
                 .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1))).sum();
     }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -20,7 +19,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
+import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpCaller;
@@ -30,10 +31,11 @@
 import org.gaugehollow.net.NetLoops;
 import org.gaugehollow.standin.PlatformSwitches;
 import org.gaugehollow.standin.StartRecord;
-import org.gaugehollow.standin.SwitchableHop;
 import org.gaugehollow.standin.WorkerRecords;
 import org.gaugehollow.upstream.UpstreamHeaders;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -61,9 +63,9 @@
     private final CellOptions options;
     private final Path directory;
     private final Map<String, String> workerAddresses = new HashMap<>();
-    private final Map<String, SwitchableHop> hops = new HashMap<>();
+    private final TestHops hops = new TestHops();
     private final Map<String, String> ipOfBox = new HashMap<>();
-    private final Map<String, Set<String>> cuts = new HashMap<>();
+    private final Map<String, Long> keysIssued = new ConcurrentHashMap<>();
     private int started;
 
     TestCell(CellOptions options)
@@ -79,7 +81,7 @@
         }
         platform = new TestProcess("platform", directory,
                 List.of("platform-standin", "--roster-lag-millis", "300"));
-        addHop("platform", platform.readyWord());
+        hops.add("platform", platform.readyWord());
     }
 
     /** Starts everything and waits until every box knows the whole hall and the test's resources. */
@@ -113,7 +115,7 @@
         String callers = ip + ':' + freePort(ip);
         String operators = ip + ':' + freePort(ip);
         String peers = ip + ':' + freePort(ip);
-        String advertised = addHop("peer-" + name, peers);
+        String advertised = hops.add("peer-" + name, peers);
         Path settings = directory.resolve(name + '-' + started + ".json");
         write(settings, settingsOf(name, hall, ip, callers, operators, peers, advertised));
         TestProcess process = new TestProcess(name + '-' + started, directory,
@@ -128,8 +130,8 @@
     {
         List<String> seeds = new ArrayList<>();
         boxes.values().stream().filter(b -> b.hall.equals(hall))
-                .forEach(b -> seeds.add(NetAddress.format(hops.get("peer-" + b.name).address())));
-        String store = NetAddress.format(hops.get("platform").address());
+                .forEach(b -> seeds.add(hops.address("peer-" + b.name)));
+        String store = hops.address("platform");
         Map<String, Object> settings = new LinkedHashMap<>();
         settings.put("box", name);
         settings.put("hall", hall);
@@ -151,7 +153,7 @@
     void startWorker(String id, String hall)
     {
         String listen = "127.0.0.1:" + freePort("127.0.0.1");
-        String advertised = addHop("worker-" + id, listen);
+        String advertised = hops.add("worker-" + id, listen);
         List<String> args = new ArrayList<>(List.of("worker-standin", "--listen", listen, "--advertise",
                 advertised, "--platform", platform.readyWord(), "--id", id, "--hall", hall, "--slots",
                 Integer.toString(options.slots())));
@@ -179,11 +181,11 @@
     {
         Set<String> expected = new HashSet<>();
         boxes.values().stream().filter(b -> b.hall.equals(box.hall)).forEach(b -> expected.add(b.id()));
-        com.fasterxml.jackson.databind.JsonNode status = box.status();
+        JsonNode status = box.status();
         Set<String> inMap = new HashSet<>();
         status.path("boxes").fieldNames().forEachRemaining(inMap::add);
         boolean allReachable = true;
-        for (com.fasterxml.jackson.databind.JsonNode reachable : status.path("boxes"))
+        for (JsonNode reachable : status.path("boxes"))
         {
             allReachable &= reachable.asBoolean();
         }
@@ -267,14 +269,12 @@
         {
             return caller.call(message, timeoutMillis + 3_000);
         }
-        catch (org.gaugehollow.model.GaugehollowException e)
+        catch (GaugehollowException e)
         {
             return new HttpReply(0, new DefaultHttpHeaders(), new byte[0]);
         }
     }
 
-    private final Map<String, Long> keysIssued = new java.util.concurrent.ConcurrentHashMap<>();
-
     private long issuedAt(String key)
     {
         return keysIssued.computeIfAbsent(key, k -> System.currentTimeMillis());
@@ -347,8 +347,8 @@
         {
             HttpReply reply = caller.call("GET", "/standin/calls", new byte[0], CONTROL_MILLIS);
             Map<String, Integer> calls = new HashMap<>();
-            Json.read(reply.body(), com.fasterxml.jackson.databind.JsonNode.class, ResultCode.INTERNAL)
-                    .properties().forEach(e -> calls.put(e.getKey(), e.getValue().asInt()));
+            Json.read(reply.body(), JsonNode.class, ResultCode.INTERNAL).properties()
+                    .forEach(e -> calls.put(e.getKey(), e.getValue().asInt()));
             return calls;
         }
     }
@@ -356,7 +356,7 @@
     /** Cuts the boxes off from the platform. */
     void cutFromPlatform(List<TestBox> from)
     {
-        from.forEach(box -> cut("platform", box));
+        from.forEach(box -> hops.cut("platform", box.ip));
     }
 
     /** Cuts the boxes of one side off from those of the other, both ways. */
@@ -366,8 +366,8 @@
         {
             for (TestBox b : other)
             {
-                cut("peer-" + b.name, a);
-                cut("peer-" + a.name, b);
+                hops.cut("peer-" + b.name, a.ip);
+                hops.cut("peer-" + a.name, b.ip);
             }
         }
     }
@@ -375,16 +375,7 @@
     /** Ends all cuts. */
     void heal()
     {
-        cuts.clear();
-        hops.values().forEach(hop -> hop.cutOff(source -> false));
-    }
-
-    private void cut(String hop, TestBox source)
-    {
-        Set<String> sources = cuts.computeIfAbsent(hop, h -> new HashSet<>());
-        sources.add(source.ip);
-        Set<String> now = Set.copyOf(sources);
-        hops.get(hop).cutOff(address -> now.contains(address.getHostAddress()));
+        hops.heal();
     }
 
     List<TestBox> boxesOf(String hall)
@@ -404,7 +395,7 @@
                     return;
                 }
             }
-            catch (org.gaugehollow.model.GaugehollowException e)
+            catch (GaugehollowException e)
             {
                 // not reachable yet
             }
@@ -413,25 +404,6 @@
         throw new AssertionError("did not come about: " + what);
     }
 
-    private String addHop(String name, String target)
-    {
-        try
-        {
-            SwitchableHop hop = new SwitchableHop(new InetSocketAddress("127.0.0.1", 0),
-                    NetAddress.parse(target));
-            SwitchableHop old = hops.put(name, hop);
-            if (old != null)
-            {
-                old.close();
-            }
-            return NetAddress.format(hop.address());
-        }
-        catch (IOException e)
-        {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     private static int freePort(String ip)
     {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip)))
@@ -471,17 +443,7 @@
         boxes.values().forEach(box -> box.process.close());
         workers.values().forEach(TestProcess::close);
         platform.close();
-        hops.values().forEach(hop ->
-        {
-            try
-            {
-                hop.close();
-            }
-            catch (IOException e)
-            {
-                // it is closed either way
-            }
-        });
+        hops.close();
         loops.close();
     }
 
@@ -489,11 +451,8 @@
      * Ends the hops in front of a hall's boxes, so that their addresses refuse connections as dead
      * boxes' do.
      */
-    void closePeerHops(String hall) throws IOException
+    void closePeerHops(String hall)
     {
-        for (TestBox box : boxesOf(hall))
-        {
-            hops.get("peer-" + box.name).close();
-        }
+        boxesOf(hall).forEach(box -> hops.end("peer-" + box.name));
     }
 }
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/WholePathTest.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/WholePathTest.java
@@ -7,6 +7,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -126,10 +127,8 @@
         HttpReply badTimeout = cell.ask(box, "lookup", null, "{}", 0);
         assertThat(badTimeout.status()).isEqualTo(400);
         assertThat(box.operator("GET", "/v1/nothing", new byte[0]).status()).isEqualTo(404);
-        assertThat(box
-                .operator("PUT", "/v1/workloads/bad",
-                        "{\"taskClass\":\"soon\"}".getBytes(java.nio.charset.StandardCharsets.UTF_8))
-                .status()).isEqualTo(422);
+        assertThat(box.operator("PUT", "/v1/workloads/bad",
+                "{\"taskClass\":\"soon\"}".getBytes(StandardCharsets.UTF_8)).status()).isEqualTo(422);
     }
 
     static List<HttpReply> all(List<Callable<HttpReply>> asks, int atOnce) throws Exception
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
@@ -16,6 +16,7 @@
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.model.TeamSpec;
 import org.gaugehollow.model.WorkloadSpec;
+import org.gaugehollow.peer.generated.PeerProtocol;
 import org.gaugehollow.peer.generated.PeerProtocol.Answer;
 
 /**
@@ -177,7 +178,7 @@
      * Copies a result. Without it a successor would know less, but nothing wrong, so a failure is let
      * pass.
      */
-    private void tell(org.gaugehollow.peer.generated.PeerProtocol.KeyRecord record)
+    private void tell(PeerProtocol.KeyRecord record)
     {
         try
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/TaskClass.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/TaskClass.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.model;
 
+import java.util.Locale;
+
 import com.fasterxml.jackson.annotation.JsonProperty;
 
 /** The classes of work, most urgent first. A lower ordinal is served first and shed last. */
@@ -25,6 +27,6 @@
     /** @return the word used in resources, metrics and messages */
     public String label()
     {
-        return name().toLowerCase(java.util.Locale.ROOT);
+        return name().toLowerCase(Locale.ROOT);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/settings/EntrySettings.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/settings/EntrySettings.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.settings;
 
+import java.net.InetAddress;
 import java.util.List;
 
 import org.gaugehollow.model.Checks;
@@ -65,7 +66,7 @@
     }
 
     /** @return the source address without a port, or null */
-    public java.net.InetAddress sourceIp()
+    public InetAddress sourceIp()
     {
         return sourceAddress == null ? null : NetAddress.parse(sourceAddress + ":0").getAddress();
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/CatalogueTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/CatalogueTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 
 import org.gaugehollow.event.EventType;
@@ -23,7 +24,7 @@
     @Test
     void errorsPageIsTheCode() throws IOException
     {
-        List<String> expected = java.util.Arrays.stream(ResultCode.values())
+        List<String> expected = Arrays.stream(ResultCode.values())
                 .map(c -> "| " + c.number() + " | " + c.name() + " | "
                         + (c.httpStatus() == 0 ? "-" : c.httpStatus()) + " | " + c.outcome().label() + " | "
                         + (c.retryAfterMillis() == 0 ? "-" : c.retryAfterMillis() + " ms") + " | "
@@ -35,7 +36,7 @@
     @Test
     void eventsPageIsTheCode() throws IOException
     {
-        List<String> expected = java.util.Arrays.stream(EventType.values()).map(
+        List<String> expected = Arrays.stream(EventType.values()).map(
                 e -> "| " + e.number() + " | " + e.name() + " | " + e.level() + " | " + e.meaning() + " |")
                 .toList();
         assertThat(rows("EVENTS.md")).containsExactlyElementsIn(expected).inOrder();
--- a/gaugehollow/src/test/java/org/gaugehollow/config/ResourceStoreTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/config/ResourceStoreTest.java
@@ -7,6 +7,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +19,7 @@
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.platform.FakeStore;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -34,7 +36,7 @@
         return Json.mapper().createObjectNode().put("value", value);
     }
 
-    private ResultCode failure(org.junit.jupiter.api.function.Executable write)
+    private ResultCode failure(Executable write)
     {
         return assertThrows(GaugehollowException.class, write).code();
     }
@@ -68,8 +70,7 @@
         store.afterNextCommit(() -> resources.put(NAME,
                 Optional.of(store.get(StoreKeys.CONFIG + NAME).orElseThrow().modRevision()), spec(3)));
         ConfigEntry mine = resources.put(NAME, Optional.of(created.revision()), spec(2));
-        assertThat(new String(mine.envelope(), java.nio.charset.StandardCharsets.UTF_8))
-                .contains("\"value\":3");
+        assertThat(new String(mine.envelope(), StandardCharsets.UTF_8)).contains("\"value\":3");
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/membership/MapPlannerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/membership/MapPlannerTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 
 import org.gaugehollow.model.HallMap;
 import org.gaugehollow.model.HallMap.MapBox;
@@ -95,7 +96,7 @@
             counts.put("b" + i, 0);
         }
         counts.put("b0", owned);
-        List<Integer> own = java.util.stream.IntStream.range(0, owned).boxed().toList();
+        List<Integer> own = IntStream.range(0, owned).boxed().toList();
         Map<Integer, String> gifts = MapPlanner.surplus(counts, "b0", false, own);
         gifts.forEach((slot, box) ->
         {
--- a/gaugehollow/src/test/java/org/gaugehollow/net/HttpServerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/net/HttpServerTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -65,7 +66,7 @@
             socket.shutdownOutput();
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
-        catch (java.net.SocketException e)
+        catch (SocketException e)
         {
             return "";
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/placement/PlacementEngineTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/placement/PlacementEngineTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.model.GaugehollowException;
@@ -238,7 +239,7 @@
     @Test
     void aTaskWhoseTurnWouldComeTooLateIsRefusedAtOnce() throws Exception
     {
-        java.util.concurrent.atomic.AtomicLong clock = new java.util.concurrent.atomic.AtomicLong(1);
+        AtomicLong clock = new AtomicLong(1);
         engine = new PlacementEngine(EngineLimits.defaults(), book("waiting-first"), clock::get);
         engine.putWorker("w1", 1, ONE_SLOT, Amounts.NONE, true);
         Placement running = engine.tryPlace(demand(TaskClass.BOOKING, "a", 1, 0)).orElseThrow();
--- a/gaugehollow/src/test/java/org/gaugehollow/settings/SettingsReaderTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/settings/SettingsReaderTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import com.google.common.collect.Range;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
@@ -73,7 +75,7 @@
         }
         catch (GaugehollowException e)
         {
-            assertThat(e.code().number()).isIn(com.google.common.collect.Range.closed(1001, 1005));
+            assertThat(e.code().number()).isIn(Range.closed(1001, 1005));
         }
     }
 }
