--- a/gaugehollow/src/main/java/org/gaugehollow/entry/RequestRouter.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/RequestRouter.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -28,6 +29,11 @@
     private static final int MOST_BOXES_TRIED = 2;
     private static final long FIRST_PAUSE_MILLIS = 25;
     private static final long LONGEST_PAUSE_MILLIS = 400;
+    /**
+     * Hand-overs take less; a take-over takes longer, and its callers are better told when to come
+     * back.
+     */
+    private static final long LONGEST_ASKING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     private final RequestSupport support;
     private final LocalRunner runner;
@@ -105,10 +111,12 @@
     {
         long pause = FIRST_PAUSE_MILLIS;
         boolean earlierAskOpen = false;
+        long giveUpAt = System.nanoTime() + LONGEST_ASKING_NANOS;
         while (true)
         {
             Answer answer = askOwnerOnce(request, workload, team);
-            if (!worthAskingAgain(answer) || request.hops() > 0 || request.remainingMillis() <= pause)
+            boolean late = request.remainingMillis() <= pause || System.nanoTime() - giveUpAt > 0;
+            if (!worthAskingAgain(answer) || request.hops() > 0 || late)
             {
                 return request.hops() > 0 ? answer : truthful(answer, request, earlierAskOpen);
             }
