Tests: workers listen on addresses of their own

Cause: in a second whole run, beside other cells on the machine, a worker of HallCutTest did not start: 1006, its port was taken. It was chosen free on 127.0.0.1, where any outgoing connection may take it before the process listens.

Ruled out: another try with another port; it would hide the same fault elsewhere. Boxes already have addresses of their own.

Change: each worker of a test's cell listens on 127.0.2.N.

--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -152,7 +152,9 @@
 
     void startWorker(String id, String hall)
     {
-        String listen = "127.0.0.1:" + freePort("127.0.0.1");
+        // an address of its own, whose ports no outgoing connection can take before the worker listens
+        String ip = "127.0.2." + (workers.size() + 1);
+        String listen = ip + ':' + freePort(ip);
         String advertised = hops.add("worker-" + id, listen);
         List<String> args = new ArrayList<>(List.of("worker-standin", "--listen", listen, "--advertise",
                 advertised, "--platform", platform.readyWord(), "--id", id, "--hall", hall, "--slots",
