--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -0,0 +1,135 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.schedule.AdviceLines;
+import org.gaugehollow.supervise.SupervisedTask;
+
+/** Registers this box in the store under a lease and knows the other boxes that are registered. */
+final class BoxRegistry implements SupervisedTask, KeyFollower.Listener
+{
+    private static final int LEASE_SECONDS = 3;
+    private static final int RENEW_MILLIS = 1_000;
+    private static final int RETRY_MILLIS = 200;
+
+    private final String box;
+    private final String peerAddress;
+    private final PlatformStore store;
+    private final PeerDirectory directory;
+    private final AdviceLines lines;
+    private final EventLog events;
+    private final Map<String, String> addresses = new ConcurrentHashMap<>();
+    private volatile long contactNanos = System.nanoTime();
+    private volatile boolean reached;
+
+    BoxRegistry(String box, String peerAddress, PlatformStore store, PeerDirectory directory,
+            AdviceLines lines, EventLog events)
+    {
+        this.box = box;
+        this.peerAddress = peerAddress;
+        this.store = store;
+        this.directory = directory;
+        this.lines = lines;
+        this.events = events;
+    }
+
+    @Override
+    public void run() throws InterruptedException
+    {
+        while (true)
+        {
+            try
+            {
+                long lease = store.grantLease(LEASE_SECONDS);
+                store.commit(new StoreTransaction().put(JobKeys.BOXES + box,
+                        peerAddress.getBytes(StandardCharsets.UTF_8), lease));
+                noteReached(true);
+                renew(lease);
+            }
+            catch (GaugehollowException e)
+            {
+                noteReached(false);
+                Thread.sleep(RETRY_MILLIS);
+            }
+        }
+    }
+
+    private void renew(long lease) throws InterruptedException
+    {
+        while (store.renewLease(lease))
+        {
+            noteReached(true);
+            Thread.sleep(RENEW_MILLIS);
+        }
+        events.record(EventType.LEASE_LOST, box, "registration");
+    }
+
+    private void noteReached(boolean now)
+    {
+        if (now)
+        {
+            contactNanos = System.nanoTime();
+        }
+        if (now != reached)
+        {
+            reached = now;
+            events.record(now ? EventType.STORE_FOUND : EventType.STORE_LOST, box, "registration");
+        }
+    }
+
+    /** When the store last answered, on the monotonic clock. */
+    long contactNanos()
+    {
+        return contactNanos;
+    }
+
+    @Override
+    public void put(String key, byte[] value, long revision)
+    {
+        String peer = key.substring(JobKeys.BOXES.length());
+        if (peer.equals(box))
+        {
+            return;
+        }
+        String address = new String(value, StandardCharsets.UTF_8);
+        String before = addresses.put(peer, address);
+        if (before == null)
+        {
+            events.record(EventType.PEER_CONNECTED, peer, "registered at " + address);
+            lines.add(peer, new PeerAdvice(directory.link(address)));
+        }
+    }
+
+    @Override
+    public void removed(String key, long revision)
+    {
+        String peer = key.substring(JobKeys.BOXES.length());
+        String address = addresses.remove(peer);
+        if (address != null)
+        {
+            events.record(EventType.PEER_LOST, peer, "no longer registered at revision " + revision);
+            lines.remove(peer);
+            directory.drop(address);
+        }
+    }
+
+    @Override
+    public void listed(long revision)
+    {
+        contactNanos = System.nanoTime();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CellConfigKeeper.java
@@ -0,0 +1,77 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.util.function.Supplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.schedule.CellPlatform;
+
+/** Holds the newest configuration of the cell; it is only ever replaced by a newer one. */
+final class CellConfigKeeper implements KeyFollower.Listener, Supplier<CellConfig>
+{
+    private final CellPlatform platform;
+    private final EventLog events;
+    private volatile CellConfig current = CellConfig.NONE;
+    private volatile long contactNanos = System.nanoTime();
+
+    CellConfigKeeper(CellPlatform platform, EventLog events)
+    {
+        this.platform = platform;
+        this.events = events;
+    }
+
+    @Override
+    public CellConfig get()
+    {
+        return current;
+    }
+
+    @Override
+    public void put(String key, byte[] value, long revision)
+    {
+        if (!key.equals(platform.configKey()))
+        {
+            return;
+        }
+        try
+        {
+            CellConfig newest = platform.readConfig(value);
+            if (newest.version() > current.version())
+            {
+                current = newest;
+                events.record(EventType.CONFIG_APPLIED, key,
+                        "version " + newest.version() + " at revision " + revision);
+            }
+        }
+        catch (GaugehollowException e)
+        {
+            events.record(EventType.CONFIG_BAD_ENTRY, key, e.getMessage());
+        }
+    }
+
+    @Override
+    public void removed(String key, long revision)
+    {
+        events.record(EventType.CONFIG_BAD_ENTRY, key,
+                "gone at revision " + revision + "; the last one stays");
+    }
+
+    @Override
+    public void listed(long revision)
+    {
+        contactNanos = System.nanoTime();
+    }
+
+    /** When the whole configuration was last read, on the monotonic clock. */
+    long contactNanos()
+    {
+        return contactNanos;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -0,0 +1,214 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.net.InetAddress;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.net.HttpExchange;
+import org.gaugehollow.net.HttpHandler;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.net.HttpServer;
+import org.gaugehollow.net.NetAddress;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.peer.PeerServer;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.schedule.AdviceLines;
+import org.gaugehollow.schedule.CellPlatform;
+import org.gaugehollow.schedule.OwnerElection;
+import org.gaugehollow.supervise.Supervisor;
+
+/**
+ * One box of a cell that runs jobs: it accepts jobs for any queue, and one box of the cell at a
+ * time owns the workers and decides. Ties all parts together and stops them in a planned way.
+ */
+public final class JobBox implements AutoCloseable
+{
+    private static final int SUFFIX_LENGTH = 6;
+    private static final int LARGEST_BODY = 1 << 20;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final long SILENT_NANOS = 3_500_000_000L;
+    private static final long BALANCER_MILLIS = 2_600;
+    private static final long STEP_MILLIS = 20;
+    private static final long MILLIS = 1_000;
+    private static final long LAST_MARGIN_MILLIS = 400;
+    private static final double ACCELERATOR_RESERVE = 0.5;
+
+    private final JobBoxSettings settings;
+    private final String id;
+    private final EventLog events;
+    private final Metrics metrics = new Metrics();
+    private final NetLoops loops;
+    private final CellPlatform platform;
+    private final Supervisor root;
+    private final CellConfigKeeper config;
+    private final BoxRegistry registry;
+    private final OwnerElection election;
+    private final PeerDirectory directory;
+    private final PeerServer peerServer;
+    private final HttpServer callerServer;
+    private final HttpServer readinessServer;
+    private final HttpServer metricsServer;
+    private final AtomicBoolean leaving = new AtomicBoolean();
+
+    /**
+     * What an adapter is given to open the platform and to serve callers.
+     *
+     * @param loops the event loops
+     * @param events the log
+     * @param metrics the metrics
+     */
+    public record Parts(NetLoops loops, EventLog events, Metrics metrics)
+    {
+    }
+
+    /** Makes the callers' port over this box's services. */
+    @FunctionalInterface
+    public interface CallerPort
+    {
+        /**
+         * @param config the newest configuration
+         * @param intake what callers may ask for
+         * @return what answers the callers' requests
+         */
+        HttpHandler open(java.util.function.Supplier<CellConfig> config, JobIntake intake);
+    }
+
+    /**
+     * Starts a box.
+     *
+     * @param settings the checked settings
+     * @param openPlatform opens the platform
+     * @param callerPort speaks to callers
+     */
+    public JobBox(JobBoxSettings settings, Function<Parts, CellPlatform> openPlatform, CallerPort callerPort)
+    {
+        this.settings = settings;
+        this.id = settings.box() + '~' + UUID.randomUUID().toString().substring(0, SUFFIX_LENGTH);
+        this.events = new EventLog(id, new HybridClock(System::currentTimeMillis));
+        InetAddress source = NetAddress.parse(settings.callerAddress()).getAddress();
+        this.loops = new NetLoops(Optional.of(source));
+        this.platform = openPlatform.apply(new Parts(loops, events, metrics));
+        this.root = new Supervisor(id, events);
+        this.config = new CellConfigKeeper(platform, events);
+        this.directory = new PeerDirectory(loops, events, metrics);
+        AdviceLines lines = new AdviceLines();
+        lines.add(id, platform.advice());
+        this.registry = new BoxRegistry(id, settings.peerAddress(), platform.store(), directory, lines,
+                events);
+        this.election = new OwnerElection(id, platform, config, lines,
+                new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), events);
+        JobIntake intake = new JobIntake(platform.store(), events);
+        this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
+                PeerAdvice.handler(platform.advice()));
+        this.callerServer = serve(settings.callerAddress(), callerPort.open(config, intake));
+        this.readinessServer = serve(settings.readinessAddress(), this::answerReadiness);
+        this.metricsServer = serve(settings.metricsAddress(), this::answerMetrics);
+        addGauges();
+        startTasks();
+        events.record(EventType.PROCESS_STARTED, id,
+                "callers " + settings.callerAddress() + ", peers " + settings.peerAddress());
+    }
+
+    private HttpServer serve(String address, HttpHandler handler)
+    {
+        return new HttpServer(loops, NetAddress.parse(address), LARGEST_BODY, events, handler);
+    }
+
+    private void addGauges()
+    {
+        metrics.gauge("gaugehollow_owner", "1 where this box owns the cell.",
+                () -> election.isOwner() ? 1 : 0);
+        metrics.gauge("gaugehollow_config_version", "Version of the configuration in force.",
+                () -> config.get().version());
+    }
+
+    private void startTasks()
+    {
+        root.start("config", new KeyFollower(platform.store(), platform.configKey(), config, events));
+        root.start("registry", registry);
+        root.start("peers", new KeyFollower(platform.store(), JobKeys.BOXES, registry, events));
+        root.start("election", election);
+    }
+
+    private void answerReadiness(HttpExchange exchange) throws InterruptedException
+    {
+        exchange.respond(HttpReply.of(isReady() ? OK : UNAVAILABLE, "text/plain", new byte[0]));
+    }
+
+    private void answerMetrics(HttpExchange exchange) throws InterruptedException
+    {
+        exchange.respond(HttpReply.of(OK, Metrics.CONTENT_TYPE, metrics.scrape()));
+    }
+
+    /** @return whether callers should be sent here */
+    public boolean isReady()
+    {
+        boolean heard = System.nanoTime() - registry.contactNanos() < SILENT_NANOS;
+        return !leaving.get() && config.get().version() > 0 && heard;
+    }
+
+    /** @return this box's id, new with each start */
+    public String id()
+    {
+        return id;
+    }
+
+    /** @return this box's log */
+    public EventLog events()
+    {
+        return events;
+    }
+
+    /**
+     * Stops in a planned way: ownership is given up at once, callers are served until the balancer has
+     * surely seen that this box leaves, and what is in flight is answered.
+     *
+     * @throws InterruptedException if the process is stopped meanwhile
+     */
+    public void stop() throws InterruptedException
+    {
+        if (!leaving.compareAndSet(false, true))
+        {
+            return;
+        }
+        long end = System.nanoTime() + (settings.drainSeconds() * MILLIS - LAST_MARGIN_MILLIS) * 1_000_000L;
+        events.record(EventType.PROCESS_STOPPING, id, "");
+        election.resign();
+        Thread.sleep(Math.min(BALANCER_MILLIS, settings.drainSeconds() * MILLIS / 2));
+        callerServer.stopAccepting();
+        while (callerServer.inFlight() > 0 && System.nanoTime() < end)
+        {
+            Thread.sleep(STEP_MILLIS);
+        }
+        events.record(EventType.PROCESS_STOPPED, id, "in flight: " + callerServer.inFlight());
+        close();
+    }
+
+    @Override
+    public void close()
+    {
+        root.close();
+        callerServer.close();
+        readinessServer.close();
+        metricsServer.close();
+        peerServer.close();
+        directory.close();
+        platform.store().close();
+        loops.close();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -0,0 +1,184 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.StoreListing;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+
+/**
+ * What callers ask about jobs. Every box answers alike, from the store: accepting a job is one
+ * conditional write of its record, so neither an owner nor a peer is needed.
+ */
+public final class JobIntake
+{
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long ANSWER_MARGIN_NANOS = 150 * NANOS_PER_MILLI;
+    private static final int RETRY_MILLIS = 30;
+    private static final TypeReference<Map<String, Integer>> COUNTS = new TypeReference<>()
+    {
+    };
+
+    private final PlatformStore store;
+    private final EventLog events;
+
+    /**
+     * @param store the platform's store
+     * @param events where each decision is recorded
+     */
+    public JobIntake(PlatformStore store, EventLog events)
+    {
+        this.store = store;
+        this.events = events;
+    }
+
+    /** One conditional write, which may be sent again under the same condition. */
+    private interface Write
+    {
+        void run() throws InterruptedException;
+    }
+
+    /**
+     * Accepts a job; one whose id is known already stays as it is.
+     *
+     * @param queue the queue
+     * @param id the job's id
+     * @param job what is to be run
+     * @param deadlineNanos until when the caller waits, on {@link System#nanoTime}
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code STORE_UNAVAILABLE} if the job was surely not accepted and
+     *             never will be, {@code STORE_OUTCOME_UNKNOWN} if it may have been
+     */
+    public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
+            throws InterruptedException
+    {
+        byte[] record = Json.write(new JobRecord(id, queue, job));
+        StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
+                record);
+        boolean[] fresh = new boolean[1];
+        writeUntilKnown(() -> fresh[0] = store.commit(write).isPresent(), id, deadlineNanos);
+        events.record(EventType.JOB_ACCEPTED, id, queue.name() + (fresh[0] ? "" : ", known already"));
+    }
+
+    private void writeUntilKnown(Write write, String id, long deadlineNanos) throws InterruptedException
+    {
+        boolean mayBeDone = false;
+        while (true)
+        {
+            try
+            {
+                write.run();
+                return;
+            }
+            catch (GaugehollowException e)
+            {
+                mayBeDone |= e.code() != ResultCode.STORE_UNAVAILABLE;
+                boolean late = deadlineNanos - System.nanoTime() < ANSWER_MARGIN_NANOS;
+                if (!mayBeDone || late)
+                {
+                    ResultCode code = mayBeDone
+                            ? ResultCode.STORE_OUTCOME_UNKNOWN
+                            : ResultCode.STORE_UNAVAILABLE;
+                    events.record(EventType.JOB_REFUSED, id, code + ": " + e.getMessage());
+                    throw new GaugehollowException(code, e.getMessage(), e);
+                }
+            }
+            Thread.sleep(RETRY_MILLIS);
+        }
+    }
+
+    /**
+     * Cancels a job.
+     *
+     * @param queue the queue
+     * @param id the job's id
+     * @param deadlineNanos until when the caller waits, on {@link System#nanoTime}
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
+     */
+    public void cancel(QueueSpec queue, String id, long deadlineNanos) throws InterruptedException
+    {
+        find(queue, id, store.list(JobKeys.jobPrefix(id)));
+        StoreTransaction write = new StoreTransaction().put(JobKeys.cancel(id), new byte[]{'1'});
+        writeUntilKnown(() -> store.commit(write), id, deadlineNanos);
+        events.record(EventType.JOB_CANCELLED, id, queue.name());
+    }
+
+    /**
+     * @param queue the queue
+     * @param id the job's id
+     * @return the job's state
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
+     */
+    public JobState state(QueueSpec queue, String id) throws InterruptedException
+    {
+        StoreListing listing = store.list(JobKeys.jobPrefix(id));
+        find(queue, id, listing);
+        Optional<StoredValue> stored = store.get(JobKeys.progress(id));
+        JobState state = stored
+                .map(v -> Json.read(v.value(), JobProgress.class, ResultCode.STORE_BAD_ANSWER).state())
+                .orElse(JobState.QUEUED);
+        boolean cancelled = listing.values().stream().anyMatch(v -> v.key().equals(JobKeys.cancel(id)));
+        return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
+    }
+
+    private void find(QueueSpec queue, String id, StoreListing listing)
+    {
+        for (StoredValue value : listing.values())
+        {
+            if (value.key().equals(JobKeys.job(id)))
+            {
+                JobRecord record = Json.read(value.value(), JobRecord.class, ResultCode.STORE_BAD_ANSWER);
+                if (record.queue().name().equals(queue.name()))
+                {
+                    return;
+                }
+            }
+        }
+        events.record(EventType.JOB_REFUSED, id,
+                ResultCode.UNKNOWN_JOB + ": not in the store at revision " + listing.revision());
+        throw new GaugehollowException(ResultCode.UNKNOWN_JOB, "no job " + id + " in " + queue.name());
+    }
+
+    /**
+     * @param queue the queue
+     * @return how many of its jobs have not begun, as the owner counted them last
+     * @throws InterruptedException if the process stops
+     */
+    public int pending(QueueSpec queue) throws InterruptedException
+    {
+        Optional<StoredValue> stored = store.get(JobKeys.SUMMARY);
+        if (stored.isEmpty())
+        {
+            return 0;
+        }
+        try
+        {
+            return Json.mapper().readValue(stored.get().value(), COUNTS).getOrDefault(queue.name(), 0);
+        }
+        catch (java.io.IOException e)
+        {
+            throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER, "the counts cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerAdvice.java
@@ -0,0 +1,62 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.util.List;
+
+import org.gaugehollow.peer.PeerHandler;
+import org.gaugehollow.peer.PeerLink;
+import org.gaugehollow.peer.generated.PeerProtocol.AdviceCall;
+import org.gaugehollow.peer.generated.PeerProtocol.AdviceReply;
+import org.gaugehollow.peer.generated.PeerProtocol.AdviceTicket;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.worker.Advice;
+import org.gaugehollow.worker.AdvicePort;
+
+/** Asks a peer to call the advice service for this box. */
+final class PeerAdvice implements AdvicePort
+{
+    private static final int SLACK_MILLIS = 200;
+
+    private final PeerLink link;
+
+    PeerAdvice(PeerLink link)
+    {
+        this.link = link;
+    }
+
+    @Override
+    public Advice advise(String step, List<String> workers, int timeoutMillis) throws InterruptedException
+    {
+        AdviceCall call = AdviceCall.newBuilder().setStep(step).addAllWorkers(workers)
+                .setTimeoutMillis(timeoutMillis).build();
+        Frame reply = link.call(Frame.newBuilder().setAdvice(call), timeoutMillis + SLACK_MILLIS);
+        AdviceReply advice = reply.getAdviceReply();
+        return new Advice(
+                advice.getTicketsList().stream()
+                        .map(ticket -> new Advice.Ticket(ticket.getWorker(), ticket.getText())).toList(),
+                advice.getValidMillis());
+    }
+
+    /** Answers the calls of peers over this box's own line. */
+    static PeerHandler handler(AdvicePort own)
+    {
+        return call ->
+        {
+            if (call.getBodyCase() != Frame.BodyCase.ADVICE)
+            {
+                throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
+            }
+            AdviceCall asked = call.getAdvice();
+            Advice advice = own.advise(asked.getStep(), asked.getWorkersList(), asked.getTimeoutMillis());
+            AdviceReply.Builder reply = AdviceReply.newBuilder().setValidMillis(advice.validMillis());
+            advice.tickets().forEach(ticket -> reply
+                    .addTickets(AdviceTicket.newBuilder().setWorker(ticket.worker()).setText(ticket.text())));
+            return Frame.newBuilder().setAdviceReply(reply);
+        };
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -30,6 +30,9 @@
     RIGHTS_FROZEN(206, Level.WARN,
             "The store answers nobody; a majority of the hall's boxes go on with the map as it is."),
 
+    OWNER_BEGAN(207, Level.INFO, "This box became the cell's owner; the text gives its fencing token."),
+    OWNER_ENDED(208, Level.WARN, "This box is no longer the cell's owner; the text says why."),
+    LEASE_NOT_RENEWED(209, Level.WARN, "The store did not confirm the owner's lease."),
     MAP_CHANGED(300, Level.INFO, "This box changed the hall's map."),
     MAP_ADOPTED(301, Level.INFO, "This box adopted a newer map of its hall."),
     BOX_REMOVED(302, Level.WARN, "A box whose lease lapsed was taken out of the map."),
@@ -45,6 +48,7 @@
     WORKER_BACK(403, Level.INFO, "A worker gets work again."),
     WORKER_LEAVING(404, Level.INFO, "A worker is leaving and gets no new work."),
 
+    WORKER_LOST(405, Level.WARN, "Nothing of a worker's runs is left; the text says how that is known."),
     TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."),
     TASK_ENDED(501, Level.DEBUG, "A task ended with the result the text gives."),
     TASK_FORWARDED(502, Level.DEBUG, "A task was passed to a peer."),
@@ -52,6 +56,16 @@
     LATE_ANSWER_DROPPED(504, Level.WARN,
             "An answer that belongs to no open request was dropped with its connection."),
 
+    JOB_ACCEPTED(510, Level.INFO, "A job was accepted and its record written; the text names its queue."),
+    JOB_REFUSED(511, Level.INFO, "A call about a job was refused; the text gives the code and the reason."),
+    JOB_CANCELLED(512, Level.INFO, "A job's cancellation was written."),
+    JOB_UNREADABLE(513, Level.ERROR, "A job's record in the store cannot be read; it is not run."),
+    TASK_STARTED(514, Level.INFO,
+            "An order to start a run was answered; the text gives run, worker and result."),
+    ORDER_UNANSWERED(515, Level.WARN, "An order to a worker got no answer in time."),
+    RUN_ENDED(516, Level.INFO, "A worker listed the end of a run; the text says how it ended."),
+    ADVICE_MISSING(517, Level.WARN, "The advice service gave no answer for a step."),
+    PROGRESS_DELAYED(518, Level.WARN, "Progress could not be written at once; ends stay open until it is."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read anew."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write whose answer was lost was settled by reading."),
@@ -65,6 +79,8 @@
     ROSTER_CHANGED(801, Level.INFO, "The platform's list of workers changed."),
     ROSTER_UNREADABLE(802, Level.WARN, "The platform's list could not be read."),
 
+    STORE_WATCH_REGAINED(803, Level.INFO, "The watch on the store is open again and all was read anew."),
+    SETTINGS_RELOADED(804, Level.INFO, "The settings file was read again."),
     CALLER_BAD_REQUEST(900, Level.DEBUG, "A request on an HTTP port was refused as malformed."),
     INTERNAL_FAULT(901, Level.ERROR, "A fault inside the process; the text names it.");
 
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -0,0 +1,47 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.job;
+
+import java.util.List;
+
+/**
+ * How far a job has come, as it lies in the store; written by the cell's owner alone.
+ *
+ * @param state the state shown to callers
+ * @param rounds the progress of each repetition that has begun; null once the state is final
+ */
+public record JobProgress(JobState state, List<RoundProgress> rounds)
+{
+    /**
+     * One repetition of the steps.
+     *
+     * @param steps one entry for each step
+     */
+    public record RoundProgress(List<StepProgress> steps)
+    {
+    }
+
+    /**
+     * One step of a repetition.
+     *
+     * @param tasks one entry for each task
+     */
+    public record StepProgress(List<TaskProgress> tasks)
+    {
+    }
+
+    /**
+     * One task.
+     *
+     * @param run the highest run that may have been started, 0 for none
+     * @param failures how many runs ended as failed
+     * @param done whether a run ended well
+     * @param worker the worker on which that run may be running, or null
+     * @param checkpoint the newest saved state known, or null
+     */
+    public record TaskProgress(int run, int failures, boolean done, String worker, String checkpoint)
+    {
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobSpec.java
@@ -0,0 +1,66 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.job;
+
+import java.util.List;
+
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+
+/**
+ * What a caller asks to be run.
+ *
+ * @param spec text handed to every task
+ * @param steps the steps, in order
+ * @param repeatCount how many times the steps run, 0 for once and at once
+ * @param startAtMillis when the first repetition is due, in milliseconds since 1970
+ * @param intervalMillis time from one repetition to the next, in milliseconds
+ */
+public record JobSpec(String spec, List<StepSpec> steps, int repeatCount, long startAtMillis,
+        long intervalMillis)
+{
+    private static final int MOST_STEPS = 256;
+    private static final int MOST_TASKS = 10_000;
+    private static final int MOST_REPETITIONS = 10_000;
+
+    /** Checks the shape of the job. */
+    public JobSpec
+    {
+        check(spec != null, "spec: is required");
+        check(steps != null && !steps.isEmpty() && steps.size() <= MOST_STEPS, "steps: expected 1 to 256");
+        steps = List.copyOf(steps);
+        check(repeatCount >= 0 && repeatCount <= MOST_REPETITIONS, "repeat count: expected 0 to 10000");
+        checkSteps(steps);
+    }
+
+    private static void checkSteps(List<StepSpec> steps)
+    {
+        for (int i = 0; i < steps.size(); i++)
+        {
+            StepSpec step = steps.get(i);
+            check(step.count() >= 1 && step.count() <= MOST_TASKS, "steps: expected 1 to 10000 tasks");
+            check(step.cpu() >= 0 && step.memoryMib() >= 0 && step.accelerators() >= 0,
+                    "steps: amounts must not be negative");
+            for (int earlier : step.dependsOn())
+            {
+                check(earlier >= 0 && earlier < i, "steps: a step may depend on earlier steps only");
+            }
+        }
+    }
+
+    private static void check(boolean holds, String message)
+    {
+        if (!holds)
+        {
+            throw new GaugehollowException(ResultCode.BAD_REQUEST, message);
+        }
+    }
+
+    /** @return how many times the steps run, at least 1 */
+    public int rounds()
+    {
+        return Math.max(1, repeatCount);
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -33,6 +33,8 @@
     KEY_REQUIRED(2007, 400, Outcome.NOT_RUN, 0,
             "The workload may not be repeated, so its requests need an Idempotency-Key."),
     KEY_CONFLICT(2008, 409, Outcome.NOT_RUN, 0, "The key was used before for another workload."),
+    UNKNOWN_QUEUE(2009, 404, Outcome.NOT_RUN, 0, "No queue is configured for the host and path."),
+    UNKNOWN_JOB(2010, 410, Outcome.NOT_RUN, 0, "The queue has no job of that id."),
 
     NO_ROOM(3001, 503, Outcome.NOT_RUN, 500, "No upstream that may take the request had room in time."),
     QUEUE_FULL(3002, 503, Outcome.NOT_RUN, 1000, "The class has as many waiting requests as it may."),
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -0,0 +1,164 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.AdviceSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.worker.Advice;
+
+/**
+ * Keeps the advice service's answers. Which workers may run a step never changes, so only those are
+ * asked for again when tickets run out. Guarded by the ledger's monitor.
+ */
+final class AdviceDesk implements Planner.Tickets
+{
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** How much before its end a ticket is no longer used, so that a start arrives in time. */
+    private static final long MARGIN_MILLIS = 150;
+    private static final int MOST_WORKERS = 100;
+    private static final long PAUSE_AFTER_FAULT_NANOS = 100_000_000L;
+
+    /** A ticket and when it ends. */
+    private record HeldTicket(String text, long endNanos)
+    {
+    }
+
+    /** What is known of one step. */
+    private static final class StepAdvice
+    {
+        private final Map<String, HeldTicket> healthy = new HashMap<>();
+        private final Set<String> asked = new HashSet<>();
+        private boolean asking;
+        private long notBeforeNanos = Long.MIN_VALUE;
+    }
+
+    private final Ledger ledger;
+    private final AdviceLines lines;
+    private final EventLog events;
+    private final Runnable onAnswer;
+    private final Map<String, StepAdvice> steps = new HashMap<>();
+
+    AdviceDesk(Ledger ledger, AdviceLines lines, EventLog events, Runnable onAnswer)
+    {
+        this.ledger = ledger;
+        this.lines = lines;
+        this.events = events;
+        this.onAnswer = onAnswer;
+    }
+
+    @Override
+    public Optional<String> ticket(Step step, WorkerSlot slot)
+    {
+        StepAdvice advice = steps.get(step.name());
+        HeldTicket held = advice == null ? null : advice.healthy.get(slot.id());
+        boolean valid = held != null && System.nanoTime() - held.endNanos < 0;
+        return valid ? Optional.of(held.text) : Optional.empty();
+    }
+
+    @Override
+    public boolean isBarred(Step step, WorkerSlot slot)
+    {
+        StepAdvice advice = steps.get(step.name());
+        return advice != null && advice.asked.contains(slot.id()) && !advice.healthy.containsKey(slot.id());
+    }
+
+    /** A worker turned a ticket down. */
+    void drop(Step step, WorkerSlot slot)
+    {
+        StepAdvice advice = steps.get(step.name());
+        if (advice != null && advice.healthy.containsKey(slot.id()))
+        {
+            advice.healthy.put(slot.id(), new HeldTicket("", Long.MIN_VALUE / 2));
+        }
+    }
+
+    /** Forgets what is known of a job's steps. */
+    void forget(Job job)
+    {
+        job.steps().forEach(step -> steps.remove(step.name()));
+    }
+
+    /** Asks for a step's tickets, unless that is under way. */
+    void request(Step step)
+    {
+        StepAdvice advice = steps.computeIfAbsent(step.name(), key -> new StepAdvice());
+        boolean early = advice.notBeforeNanos != Long.MIN_VALUE
+                && System.nanoTime() - advice.notBeforeNanos < 0;
+        if (advice.asking || early)
+        {
+            return;
+        }
+        List<String> workers = workersToAsk(step, advice);
+        if (workers.isEmpty())
+        {
+            return;
+        }
+        advice.asking = true;
+        AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
+        Thread.ofVirtual().name("advice-" + step.name()).start(() -> ask(step, advice, workers, spec));
+    }
+
+    private List<String> workersToAsk(Step step, StepAdvice advice)
+    {
+        List<String> workers = new ArrayList<>();
+        for (WorkerSlot slot : ledger.workers())
+        {
+            boolean service = slot.accepts() && slot.entry().service().equals(step.job().queue().service());
+            if (service && !isBarred(step, slot) && workers.size() < MOST_WORKERS)
+            {
+                workers.add(slot.id());
+            }
+        }
+        return workers;
+    }
+
+    private void ask(Step step, StepAdvice advice, List<String> workers, AdviceSpec spec)
+    {
+        Advice answer = null;
+        try
+        {
+            answer = lines.advise(step.name(), workers, spec.expectedMillis(workers.size()));
+        }
+        catch (GaugehollowException e)
+        {
+            events.record(EventType.ADVICE_MISSING, step.name(), e.getMessage());
+        }
+        catch (InterruptedException e)
+        {
+            Thread.currentThread().interrupt();
+        }
+        synchronized (ledger)
+        {
+            take(advice, workers, answer, spec);
+        }
+        onAnswer.run();
+    }
+
+    private static void take(StepAdvice advice, List<String> workers, Advice answer, AdviceSpec spec)
+    {
+        long now = System.nanoTime();
+        advice.asking = false;
+        if (answer == null)
+        {
+            advice.notBeforeNanos = now + PAUSE_AFTER_FAULT_NANOS;
+            return;
+        }
+        advice.asked.addAll(workers);
+        long valid = answer.validMillis() > 0 ? answer.validMillis() : spec.validMillis();
+        long end = now + (valid - MARGIN_MILLIS) * NANOS_PER_MILLI;
+        answer.tickets()
+                .forEach(ticket -> advice.healthy.put(ticket.worker(), new HeldTicket(ticket.text(), end)));
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -0,0 +1,55 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** What has to be written and sent after a change of the ledger. */
+final class Effects
+{
+    /**
+     * A run that has to be stopped.
+     *
+     * @param slot the worker that has it
+     * @param taskName the task's full name
+     * @param run the run
+     * @param task the task, or null where the ledger does not know the run
+     */
+    record Stop(WorkerSlot slot, String taskName, int run, Task task)
+    {
+    }
+
+    private final Set<Job> changed = new LinkedHashSet<>();
+    private final List<Stop> stops = new ArrayList<>();
+
+    void changed(Job job)
+    {
+        changed.add(job);
+    }
+
+    void stop(Task task)
+    {
+        task.stopping();
+        stops.add(new Stop(task.worker(), task.name(), task.run(), task));
+    }
+
+    void stopUnknown(WorkerSlot slot, String taskName, int run)
+    {
+        stops.add(new Stop(slot, taskName, run, null));
+    }
+
+    Set<Job> changed()
+    {
+        return changed;
+    }
+
+    List<Stop> stops()
+    {
+        return stops;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -0,0 +1,217 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.supervise.SupervisedTask;
+
+/**
+ * Writes the progress of jobs in groups, one transaction after the other. Each transaction holds
+ * only if this box still is the owner and if no other one took effect since the one before, so a
+ * write that the store carries out late can never undo a newer one.
+ */
+final class Journal implements SupervisedTask
+{
+    private static final int MOST_JOBS = 28;
+    private static final int RETRY_MILLIS = 60;
+
+    /** Jobs that were marked together. */
+    private static final class Batch
+    {
+        private final Runnable onWritten;
+        private int left;
+
+        Batch(Runnable onWritten, int jobs)
+        {
+            this.onWritten = onWritten;
+            this.left = jobs;
+        }
+
+        void written()
+        {
+            left--;
+            if (left == 0)
+            {
+                onWritten.run();
+            }
+        }
+    }
+
+    private final PlatformStore store;
+    private final Ledger ledger;
+    private final OwnerLease owner;
+    private final EventLog events;
+    private final Map<Job, List<Batch>> marked = new LinkedHashMap<>();
+    private long journalRevision;
+    private long writes;
+
+    /**
+     * @param store the platform's store
+     * @param ledger what is written
+     * @param owner this box's ownership, under which it writes
+     * @param events where trouble with the store is recorded
+     */
+    Journal(PlatformStore store, Ledger ledger, OwnerLease owner, EventLog events)
+    {
+        this.store = store;
+        this.ledger = ledger;
+        this.owner = owner;
+        this.events = events;
+        this.journalRevision = owner.fence();
+    }
+
+    /**
+     * Writes the jobs' progress soon.
+     *
+     * @param jobs the jobs
+     * @param onWritten runs once the store has the progress of all of them; at once if there are none
+     */
+    void mark(Collection<Job> jobs, Runnable onWritten)
+    {
+        if (jobs.isEmpty())
+        {
+            onWritten.run();
+            return;
+        }
+        Batch batch = new Batch(onWritten, jobs.size());
+        synchronized (marked)
+        {
+            jobs.forEach(job -> marked.computeIfAbsent(job, key -> new ArrayList<>()).add(batch));
+            marked.notifyAll();
+        }
+    }
+
+    /** Writes the jobs' progress soon. */
+    void mark(Collection<Job> jobs)
+    {
+        mark(jobs, () ->
+        {
+        });
+    }
+
+    @Override
+    public void run() throws InterruptedException
+    {
+        while (true)
+        {
+            Map<Job, List<Batch>> group = take();
+            writeUntilDone(group);
+            group.forEach(this::written);
+        }
+    }
+
+    private Map<Job, List<Batch>> take() throws InterruptedException
+    {
+        synchronized (marked)
+        {
+            while (marked.isEmpty())
+            {
+                marked.wait();
+            }
+            Map<Job, List<Batch>> group = new LinkedHashMap<>();
+            for (Map.Entry<Job, List<Batch>> entry : marked.entrySet())
+            {
+                if (group.size() == MOST_JOBS)
+                {
+                    break;
+                }
+                group.put(entry.getKey(), entry.getValue());
+            }
+            group.keySet().forEach(marked::remove);
+            return group;
+        }
+    }
+
+    private void written(Job job, List<Batch> batches)
+    {
+        synchronized (ledger)
+        {
+            ledger.dropIfOver(job);
+        }
+        batches.forEach(Batch::written);
+    }
+
+    private void writeUntilDone(Map<Job, List<Batch>> group) throws InterruptedException
+    {
+        boolean troubled = false;
+        while (true)
+        {
+            try
+            {
+                if (writeOnce(group.keySet()))
+                {
+                    return;
+                }
+            }
+            catch (GaugehollowException e)
+            {
+                if (!troubled)
+                {
+                    troubled = true;
+                    events.record(EventType.PROGRESS_DELAYED, owner.box(), e.getMessage());
+                }
+                Thread.sleep(RETRY_MILLIS);
+            }
+        }
+    }
+
+    private boolean writeOnce(Collection<Job> jobs) throws InterruptedException
+    {
+        writes++;
+        StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
+                .require(JobKeys.JOURNAL, journalRevision)
+                .put(JobKeys.JOURNAL, Json.write(new JournalMark(owner.box(), writes)));
+        synchronized (ledger)
+        {
+            jobs.forEach(job -> transaction.put(JobKeys.progress(job.id()),
+                    JobCodec.writeProgress(job.progress())));
+        }
+        Optional<Long> revision = store.commit(transaction);
+        if (revision.isPresent())
+        {
+            journalRevision = revision.get();
+            return true;
+        }
+        readRevision();
+        return false;
+    }
+
+    /** Another write took effect: a late one of this owner, or one of a newer owner. */
+    private void readRevision() throws InterruptedException
+    {
+        Optional<StoredValue> ownerKey = store.get(JobKeys.OWNER);
+        if (ownerKey.isEmpty() || ownerKey.get().modRevision() != owner.ownerRevision())
+        {
+            owner.end("another box wrote the owner's key");
+            throw new GaugehollowException(ResultCode.NO_RIGHTS, "this box is no longer the owner");
+        }
+        journalRevision = store.get(JobKeys.JOURNAL).map(StoredValue::modRevision).orElse(0L);
+    }
+
+    /**
+     * The value of the journal's key.
+     *
+     * @param box the box that wrote it
+     * @param write rises with each write
+     */
+    record JournalMark(String box, long write)
+    {
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -0,0 +1,409 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobProgress.RoundProgress;
+import org.gaugehollow.job.JobProgress.TaskProgress;
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.worker.HoldAnswer;
+import org.gaugehollow.worker.HoldAnswer.EndedRun;
+import org.gaugehollow.worker.HoldAnswer.RunningRun;
+import org.gaugehollow.worker.RunEnd;
+import org.gaugehollow.worker.WorkerEntry;
+
+/**
+ * All that the cell's owner knows of jobs and workers. It sends and writes nothing: each change
+ * returns what has to be sent and written. Every method must be called by a thread that holds the
+ * ledger's monitor.
+ */
+final class Ledger
+{
+    /** A worker lists at most this many ends at once; a full list may hide others. */
+    private static final int MOST_ENDS = 500;
+
+    private final LongSupplier nanoTime;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Set<String> finished = new HashSet<>();
+    private final Set<String> cancelledEarly = new HashSet<>();
+    private final Map<String, WorkerSlot> workers = new HashMap<>();
+    private final long unknownLeaseEnd;
+    private CellConfig config = CellConfig.NONE;
+
+    /**
+     * @param nanoTime a monotonic clock
+     * @param unknownLeaseNanos how long after now a worker that cannot be reached may still run what an
+     *            earlier owner started
+     */
+    Ledger(LongSupplier nanoTime, long unknownLeaseNanos)
+    {
+        this.nanoTime = nanoTime;
+        this.unknownLeaseEnd = nanoTime.getAsLong() + unknownLeaseNanos;
+    }
+
+    /** Adds an accepted job; one that is known already is left as it is. */
+    Effects accept(JobRecord record, long revision, JobProgress progress, long wallMillis)
+    {
+        Effects effects = new Effects();
+        if (jobs.containsKey(record.id()) || finished.contains(record.id()))
+        {
+            return effects;
+        }
+        if (progress != null && progress.state().isFinal())
+        {
+            finished.add(record.id());
+            return effects;
+        }
+        Job job = new Job(record, revision);
+        config.queue(record.queue().name()).ifPresent(job::setQueue);
+        job.beginDueRounds(wallMillis);
+        if (progress != null)
+        {
+            restore(job, progress);
+        }
+        jobs.put(job.id(), job);
+        if (cancelledEarly.remove(job.id()))
+        {
+            finish(job, JobState.CANCELLED, effects);
+        }
+        return effects;
+    }
+
+    private void restore(Job job, JobProgress progress)
+    {
+        job.setState(progress.state());
+        for (int k = 0; k < progress.rounds().size(); k++)
+        {
+            RoundProgress round = progress.rounds().get(k);
+            List<Step> steps = job.round(k);
+            for (int s = 0; s < steps.size(); s++)
+            {
+                restoreStep(steps.get(s), round.steps().get(s).tasks());
+            }
+        }
+    }
+
+    private void restoreStep(Step step, List<TaskProgress> recorded)
+    {
+        for (int i = 0; i < recorded.size(); i++)
+        {
+            TaskProgress progress = recorded.get(i);
+            WorkerSlot slot = progress.worker() == null ? null : slot(progress.worker());
+            step.tasks().get(i).restore(progress, slot, nanoTime.getAsLong());
+        }
+    }
+
+    /** Cancels a job; the cancellation may be known before the job is. */
+    Effects cancel(String id)
+    {
+        Effects effects = new Effects();
+        Job job = jobs.get(id);
+        if (job != null)
+        {
+            finish(job, JobState.CANCELLED, effects);
+        }
+        else if (!finished.contains(id))
+        {
+            cancelledEarly.add(id);
+        }
+        return effects;
+    }
+
+    private static void finish(Job job, JobState state, Effects effects)
+    {
+        if (job.state().isFinal())
+        {
+            return;
+        }
+        job.setState(state);
+        effects.changed(job);
+        for (Task task : job.occupying())
+        {
+            if (task.phase() != Task.Phase.STOPPING)
+            {
+                effects.stop(task);
+            }
+        }
+    }
+
+    /** Forgets a job whose record is gone from the store. */
+    void forget(String id)
+    {
+        finished.remove(id);
+        cancelledEarly.remove(id);
+    }
+
+    /** Drops jobs of which nothing is left to do; their final state must have been written. */
+    void dropIfOver(Job job)
+    {
+        if (job.state().isFinal() && job.occupying().isEmpty())
+        {
+            jobs.remove(job.id());
+            finished.add(job.id());
+        }
+    }
+
+    /** Takes a newer configuration. */
+    void configure(CellConfig newest)
+    {
+        config = newest;
+        jobs.values().forEach(job -> newest.queue(job.queue().name()).ifPresent(job::setQueue));
+    }
+
+    /** Takes a worker's newest entry; returns its slot. */
+    WorkerSlot list(WorkerEntry entry)
+    {
+        WorkerSlot slot = slot(entry.id());
+        slot.setEntry(entry);
+        return slot;
+    }
+
+    private WorkerSlot slot(String id)
+    {
+        return workers.computeIfAbsent(id, key -> new WorkerSlot(key, unknownLeaseEnd));
+    }
+
+    /** Drops a worker that is no longer listed and holds nothing. */
+    void unlist(WorkerSlot slot)
+    {
+        if (slot.isIdle())
+        {
+            workers.remove(slot.id());
+        }
+    }
+
+    /** A worker's life is over or its lease has surely lapsed: nothing runs there any more. */
+    Effects lost(WorkerSlot slot)
+    {
+        Effects effects = new Effects();
+        slot.setHeld(false);
+        for (Task task : slot.tasks())
+        {
+            releaseLost(task, effects);
+        }
+        return effects;
+    }
+
+    private void releaseLost(Task task, Effects effects)
+    {
+        task.release();
+        effects.changed(task.step().job());
+    }
+
+    /** Workers that cannot be reached and whose leases have surely lapsed. */
+    List<WorkerSlot> lapsed()
+    {
+        long now = nanoTime.getAsLong();
+        return workers.values().stream().filter(slot -> !slot.isIdle() && now - slot.leaseEndNanos() > 0)
+                .toList();
+    }
+
+    /**
+     * Takes note of what a worker answered to a look.
+     *
+     * @param slot the worker
+     * @param answer its answer
+     * @param lastSeen the number of the last end that was taken note of before
+     * @param sentNanos when the look was sent
+     * @return what changed
+     */
+    Effects look(WorkerSlot slot, HoldAnswer answer, long lastSeen, long sentNanos)
+    {
+        Effects effects = new Effects();
+        long now = nanoTime.getAsLong();
+        slot.readClock(answer.clockMillis(), now);
+        slot.setHeld(true);
+        for (EndedRun end : answer.ended())
+        {
+            if (end.number() > lastSeen)
+            {
+                end(slot, end, effects);
+            }
+        }
+        Set<Task> present = new HashSet<>();
+        slot.setForeignRuns(false);
+        for (RunningRun run : answer.running())
+        {
+            running(slot, run, present, effects);
+        }
+        if (answer.ended().size() < MOST_ENDS)
+        {
+            releaseMissing(slot, present, sentNanos, effects);
+        }
+        return effects;
+    }
+
+    private void running(WorkerSlot slot, RunningRun run, Set<Task> present, Effects effects)
+    {
+        Task task = find(run.task());
+        if (task == null || !task.isAt(slot, run.run()))
+        {
+            slot.setForeignRuns(true);
+            effects.stopUnknown(slot, run.task(), run.run());
+            return;
+        }
+        long now = nanoTime.getAsLong();
+        present.add(task);
+        task.begun(now);
+        task.observe(run.percent(), run.gauge(), now);
+        saveCheckpoint(task, run.checkpoint());
+    }
+
+    private static void saveCheckpoint(Task task, String state)
+    {
+        if (task.step().spec().gang())
+        {
+            task.step().savedByGang(state);
+        }
+        else
+        {
+            task.saved(state);
+        }
+    }
+
+    private void releaseMissing(WorkerSlot slot, Set<Task> present, long sentNanos, Effects effects)
+    {
+        for (Task task : slot.tasks())
+        {
+            boolean settledBefore = task.settledNanos() != Task.UNSETTLED && task.settledNanos() < sentNanos;
+            if (!present.contains(task) && settledBefore)
+            {
+                releaseLost(task, effects);
+            }
+        }
+    }
+
+    private void end(WorkerSlot slot, EndedRun end, Effects effects)
+    {
+        Task task = find(end.task());
+        if (task == null || !task.isAt(slot, end.run()))
+        {
+            return;
+        }
+        Job job = task.step().job();
+        effects.changed(job);
+        saveCheckpoint(task, end.checkpoint());
+        if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
+        {
+            done(task, slot);
+        }
+        else
+        {
+            boolean counts = end.how() == RunEnd.FAILED;
+            task.release();
+            if (counts)
+            {
+                failed(task, slot, end.run(), effects);
+            }
+        }
+        if (job.allDone())
+        {
+            finish(job, JobState.COMPLETED, effects);
+        }
+    }
+
+    private static void done(Task task, WorkerSlot slot)
+    {
+        slot.health().succeeded();
+        if (task.step().spec().gang())
+        {
+            task.step().tasks().forEach(Task::done);
+            return;
+        }
+        task.done();
+    }
+
+    private void failed(Task task, WorkerSlot slot, int run, Effects effects)
+    {
+        Step step = task.step();
+        Job job = step.job();
+        if (step.spec().longRunning())
+        {
+            slot.health().failed(task.name(), nanoTime.getAsLong());
+            return;
+        }
+        slot.health().failed(job.id(), nanoTime.getAsLong());
+        if (step.spec().gang())
+        {
+            step.gangFailed(run);
+        }
+        else
+        {
+            task.failed();
+        }
+        int failures = step.spec().gang() ? step.tasks().getFirst().failures() : task.failures();
+        if (failures >= job.queue().maxAttempts())
+        {
+            finish(job, JobState.FAILED, effects);
+        }
+    }
+
+    /** The task of a full name, if its job is known and not over. */
+    Task find(String fullName)
+    {
+        TaskName name = TaskName.parse(fullName);
+        Job job = name == null ? null : jobs.get(name.job());
+        return job == null ? null : job.find(name);
+    }
+
+    /** The jobs that are not over, the most urgent queue first and within it the earliest first. */
+    List<Job> byUrgency()
+    {
+        List<Job> sorted = new ArrayList<>();
+        for (Job job : jobs.values())
+        {
+            if (!job.state().isFinal())
+            {
+                sorted.add(job);
+            }
+        }
+        sorted.sort(Comparator.comparingInt((Job job) -> job.queue().priority())
+                .thenComparingLong(Job::acceptedRevision));
+        return sorted;
+    }
+
+    /** How many jobs of each queue have not begun; those with due times are left out. */
+    Map<String, Integer> pending()
+    {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (Job job : jobs.values())
+        {
+            if (job.state() == JobState.QUEUED && job.record().job().repeatCount() == 0)
+            {
+                counts.merge(job.queue().name(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
+    Collection<WorkerSlot> workers()
+    {
+        return workers.values();
+    }
+
+    Optional<WorkerSlot> worker(String id)
+    {
+        return Optional.ofNullable(workers.get(id));
+    }
+
+    CellConfig config()
+    {
+        return config;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -0,0 +1,215 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.placement.WorkerScore;
+import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.StoreChange;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoreWatch;
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.supervise.SupervisedTask;
+import org.gaugehollow.supervise.Supervisor;
+
+/**
+ * Makes this box the cell's owner whenever there is none. The owner's key is tied to a lease, and
+ * the revision of its write is the owner's fencing token.
+ */
+public final class OwnerElection implements SupervisedTask
+{
+    private static final int LEASE_SECONDS = 2;
+    private static final int RENEW_MILLIS = 500;
+    private static final int RETRY_MILLIS = 100;
+    private static final int POLL_MILLIS = 2_000;
+    private static final int MOST_JITTER_MILLIS = 30;
+
+    private final String box;
+    private final CellPlatform platform;
+    private final Supplier<CellConfig> config;
+    private final AdviceLines lines;
+    private final WorkerScore score;
+    private final Supervisor supervisor;
+    private final EventLog events;
+    private volatile OwnerLease current;
+    private volatile boolean resigned;
+
+    /**
+     * @param box this box's id
+     * @param platform the platform
+     * @param config the newest configuration
+     * @param lines the boxes' lines to the advice service
+     * @param score the placement policy
+     * @param supervisor parent of the owner's tasks
+     * @param events where terms are recorded
+     */
+    public OwnerElection(String box, CellPlatform platform, Supplier<CellConfig> config, AdviceLines lines,
+            WorkerScore score, Supervisor supervisor, EventLog events)
+    {
+        this.box = box;
+        this.platform = platform;
+        this.config = config;
+        this.lines = lines;
+        this.score = score;
+        this.supervisor = supervisor;
+        this.events = events;
+    }
+
+    @Override
+    public void run() throws InterruptedException
+    {
+        while (!resigned)
+        {
+            try
+            {
+                Optional<StoredValue> owner = platform.store().get(JobKeys.OWNER);
+                if (owner.isPresent())
+                {
+                    awaitGone(owner.get().modRevision());
+                }
+                else if (config.get().version() > 0)
+                {
+                    tryToOwn();
+                }
+                else
+                {
+                    Thread.sleep(RETRY_MILLIS);
+                }
+            }
+            catch (GaugehollowException e)
+            {
+                Thread.sleep(RETRY_MILLIS);
+            }
+        }
+    }
+
+    private void awaitGone(long revision) throws InterruptedException
+    {
+        try (StoreWatch watch = platform.store().watch(JobKeys.OWNER, revision + 1))
+        {
+            List<StoreChange> changes = watch.poll(POLL_MILLIS);
+            if (!changes.isEmpty() && changes.getLast().deleted())
+            {
+                Thread.sleep(ThreadLocalRandom.current().nextInt(MOST_JITTER_MILLIS));
+            }
+        }
+    }
+
+    private void tryToOwn() throws InterruptedException
+    {
+        PlatformStore store = platform.store();
+        long storeLease = store.grantLease(LEASE_SECONDS);
+        byte[] term = (box + '/' + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
+        Optional<Long> revision;
+        try
+        {
+            revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, 0)
+                    .put(JobKeys.OWNER, term, storeLease).put(JobKeys.JOURNAL, term));
+        }
+        catch (GaugehollowException e)
+        {
+            revision = settle(term);
+        }
+        if (revision.isPresent())
+        {
+            serve(new OwnerLease(box, revision.get(), storeLease));
+        }
+    }
+
+    /** Finds out whether a write without an answer made this box the owner. */
+    private Optional<Long> settle(byte[] term) throws InterruptedException
+    {
+        Optional<StoredValue> owner = platform.store().get(JobKeys.OWNER);
+        boolean mine = owner.isPresent() && java.util.Arrays.equals(owner.get().value(), term);
+        return mine ? Optional.of(owner.get().modRevision()) : Optional.empty();
+    }
+
+    private void serve(OwnerLease lease) throws InterruptedException
+    {
+        current = lease;
+        events.record(EventType.OWNER_BEGAN, box, "fence " + lease.fence());
+        Supervisor tasks = supervisor.child("term-" + lease.fence());
+        try (OwnerTerm term = new OwnerTerm(platform, lease, events, tasks, config, lines, score))
+        {
+            tasks.start("lease", () -> renewForever(lease));
+            term.begin();
+            while (!lease.awaitEnd(RENEW_MILLIS))
+            {
+                if (!lease.mayOrder())
+                {
+                    lease.end("the store has not confirmed the term for too long");
+                }
+            }
+        }
+        finally
+        {
+            lease.end("the box stops");
+            events.record(EventType.OWNER_ENDED, box, "fence " + lease.fence() + ": " + lease.reason());
+        }
+    }
+
+    private void renewForever(OwnerLease lease) throws InterruptedException
+    {
+        while (!lease.isOver())
+        {
+            try
+            {
+                if (!platform.store().renewLease(lease.storeLease()))
+                {
+                    lease.end("the store no longer knows the lease");
+                    return;
+                }
+                lease.confirmed();
+            }
+            catch (GaugehollowException e)
+            {
+                events.record(EventType.LEASE_NOT_RENEWED, box, e.getMessage());
+            }
+            Thread.sleep(RENEW_MILLIS);
+        }
+    }
+
+    /**
+     * Gives ownership up at once and for good, so that another box takes over.
+     *
+     * @throws InterruptedException if the process stops
+     */
+    public void resign() throws InterruptedException
+    {
+        resigned = true;
+        OwnerLease lease = current;
+        if (lease == null || lease.isOver())
+        {
+            return;
+        }
+        lease.end("the box stops");
+        try
+        {
+            platform.store().revokeLease(lease.storeLease());
+        }
+        catch (GaugehollowException e)
+        {
+            events.record(EventType.LEASE_NOT_RENEWED, box, "not given back: " + e.getMessage());
+        }
+    }
+
+    /** @return whether this box is the owner, as far as it knows */
+    public boolean isOwner()
+    {
+        OwnerLease lease = current;
+        return lease != null && !lease.isOver();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -0,0 +1,384 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.placement.WorkerScore;
+import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.supervise.Supervisor;
+import org.gaugehollow.worker.HoldAnswer;
+import org.gaugehollow.worker.HoldAnswer.EndedRun;
+import org.gaugehollow.worker.WorkerEntry;
+
+/** The work of the cell's owner during one term: jobs in, decisions, orders out, ends written. */
+final class OwnerTerm implements AutoCloseable
+{
+    private static final long LONGEST_WAIT_MILLIS = 200;
+    private static final long MILLIS_BETWEEN_PLANS = 3;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long LOAD_RETRY_MILLIS = 60;
+    /** How long after its lease a run may take to end. */
+    private static final long END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
+    /** How long runs of an earlier owner may live on a worker that this one cannot reach. */
+    private static final long UNKNOWN_LEASE_NANOS = OwnerLease.LONGEST_SILENCE_NANOS
+            + (long) (WorkerSession.LEASE_MILLIS * 1.02) * NANOS_PER_MILLI - 2_000 * NANOS_PER_MILLI
+            + END_MARGIN_NANOS;
+
+    private final CellPlatform platform;
+    private final OwnerLease lease;
+    private final EventLog events;
+    private final Supervisor supervisor;
+    private final Supplier<CellConfig> config;
+    private final Ledger ledger = new Ledger(System::nanoTime, UNKNOWN_LEASE_NANOS);
+    private final Journal journal;
+    private final AdviceDesk desk;
+    private final Planner planner;
+    private final Map<String, WorkerSession> sessions = new ConcurrentHashMap<>();
+    private final Semaphore wakeUps = new Semaphore(0);
+    private Map<String, JobProgress> recorded = Map.of();
+    private volatile boolean jobsListed;
+
+    OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
+            Supplier<CellConfig> config, AdviceLines lines, WorkerScore score)
+    {
+        this.platform = platform;
+        this.lease = lease;
+        this.events = events;
+        this.supervisor = supervisor;
+        this.config = config;
+        this.journal = new Journal(platform.store(), ledger, lease, events);
+        this.desk = new AdviceDesk(ledger, lines, events, this::wake);
+        this.planner = new Planner(ledger, desk, score);
+    }
+
+    /** Reads what earlier owners recorded and begins to work. */
+    void begin() throws InterruptedException
+    {
+        recorded = readProgress();
+        supervisor.start("journal", journal);
+        supervisor.start("jobs", new KeyFollower(platform.store(), JobKeys.JOBS, new JobListener(), events));
+        supervisor.start("workers",
+                new KeyFollower(platform.store(), platform.workerPrefix(), new WorkerListener(), events));
+        supervisor.start("planner", this::planForever);
+        supervisor.start("summary", new SummaryWriter(platform.store(), ledger, lease));
+    }
+
+    private Map<String, JobProgress> readProgress() throws InterruptedException
+    {
+        while (!lease.isOver())
+        {
+            try
+            {
+                Map<String, JobProgress> found = new HashMap<>();
+                for (StoredValue value : platform.store().list(JobKeys.PROGRESS).values())
+                {
+                    String id = value.key().substring(JobKeys.PROGRESS.length());
+                    found.put(id, JobCodec.readProgress(value.value()));
+                }
+                return found;
+            }
+            catch (GaugehollowException e)
+            {
+                Thread.sleep(LOAD_RETRY_MILLIS);
+            }
+        }
+        return Map.of();
+    }
+
+    private void planForever() throws InterruptedException
+    {
+        while (!lease.isOver())
+        {
+            if (wakeUps.tryAcquire(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS))
+            {
+                wakeUps.drainPermits();
+            }
+            if (jobsListed)
+            {
+                planOnce();
+            }
+            Thread.sleep(MILLIS_BETWEEN_PLANS);
+        }
+    }
+
+    private void planOnce()
+    {
+        Planner.Plan plan;
+        synchronized (ledger)
+        {
+            CellConfig newest = config.get();
+            if (newest.version() > ledger.config().version())
+            {
+                ledger.configure(newest);
+            }
+            releaseLapsed();
+            plan = planner.plan(System.nanoTime(), System.currentTimeMillis());
+            plan.needAdvice().forEach(desk::request);
+        }
+        Set<Job> begun = new LinkedHashSet<>();
+        plan.starts().forEach(start -> begun.add(start.task().step().job()));
+        journal.mark(begun, () -> plan.starts().forEach(this::send));
+    }
+
+    private void releaseLapsed()
+    {
+        for (WorkerSlot slot : ledger.lapsed())
+        {
+            if (System.nanoTime() - slot.leaseEndNanos() > END_MARGIN_NANOS)
+            {
+                events.record(EventType.WORKER_LOST, slot.id(),
+                        "its lease has lapsed with " + slot.tasks().size() + " runs");
+                journal.mark(ledger.lost(slot).changed());
+            }
+        }
+    }
+
+    private void send(Planner.Start start)
+    {
+        WorkerSession session = sessions.get(start.slot().id());
+        if (session != null)
+        {
+            inBackground(start.task().name(), () -> session.start(start));
+        }
+    }
+
+    /** A step of work that may be interrupted. */
+    private interface Interruptible
+    {
+        void run() throws InterruptedException;
+    }
+
+    private static void inBackground(String name, Interruptible work)
+    {
+        Thread.ofVirtual().name(name).start(() ->
+        {
+            try
+            {
+                work.run();
+            }
+            catch (InterruptedException e)
+            {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** Writes what changed and sends the stops. */
+    void apply(Effects effects)
+    {
+        apply(effects, () ->
+        {
+        });
+    }
+
+    /** Writes what changed and sends the stops; what is to follow runs once all is written. */
+    void apply(Effects effects, Runnable onWritten)
+    {
+        for (Effects.Stop stop : effects.stops())
+        {
+            WorkerSession session = sessions.get(stop.slot().id());
+            if (session != null)
+            {
+                inBackground(stop.taskName(), () -> session.stop(stop));
+            }
+        }
+        synchronized (ledger)
+        {
+            effects.changed().stream().filter(job -> job.state().isFinal()).forEach(desk::forget);
+        }
+        if (!effects.changed().isEmpty())
+        {
+            wake();
+        }
+        journal.mark(effects.changed(), onWritten);
+    }
+
+    /** A life of a worker is over. */
+    void lost(WorkerSlot slot, String why)
+    {
+        events.record(EventType.WORKER_LOST, slot.id(), why);
+        Effects effects;
+        synchronized (ledger)
+        {
+            slot.setEntry(null);
+            effects = ledger.lost(slot);
+        }
+        journal.mark(effects.changed());
+        wake();
+    }
+
+    /** A worker that is no longer listed, holds nothing and does not answer is forgotten. */
+    void sessionOver(WorkerSlot slot)
+    {
+        synchronized (ledger)
+        {
+            ledger.unlist(slot);
+        }
+        WorkerSession session = sessions.remove(slot.id());
+        if (session != null)
+        {
+            session.close();
+        }
+    }
+
+    void logEnds(WorkerSlot slot, HoldAnswer answer, long lastSeen)
+    {
+        for (EndedRun end : answer.ended())
+        {
+            if (end.number() > lastSeen)
+            {
+                events.record(EventType.RUN_ENDED, end.task(),
+                        "run " + end.run() + " on " + slot.id() + ": " + end.how() + ", end " + end.number());
+            }
+        }
+    }
+
+    /** Decides anew soon. */
+    void wake()
+    {
+        wakeUps.release();
+    }
+
+    OwnerLease lease()
+    {
+        return lease;
+    }
+
+    Ledger ledger()
+    {
+        return ledger;
+    }
+
+    AdviceDesk desk()
+    {
+        return desk;
+    }
+
+    EventLog events()
+    {
+        return events;
+    }
+
+    @Override
+    public void close()
+    {
+        supervisor.close();
+        sessions.values().forEach(WorkerSession::close);
+    }
+
+    /** Feeds accepted and cancelled jobs to the ledger. */
+    private final class JobListener implements KeyFollower.Listener
+    {
+        @Override
+        public void put(String key, byte[] value, long revision)
+        {
+            JobKeys.idOfJob(key).ifPresent(id -> accept(id, value, revision));
+            JobKeys.idOfCancel(key).ifPresent(this::cancel);
+        }
+
+        private void accept(String id, byte[] value, long revision)
+        {
+            try
+            {
+                Effects effects;
+                synchronized (ledger)
+                {
+                    effects = ledger.accept(JobCodec.readRecord(value), revision, recorded.get(id),
+                            System.currentTimeMillis());
+                }
+                apply(effects);
+                wake();
+            }
+            catch (GaugehollowException e)
+            {
+                events.record(EventType.JOB_UNREADABLE, id, e.getMessage());
+            }
+        }
+
+        private void cancel(String id)
+        {
+            Effects effects;
+            synchronized (ledger)
+            {
+                effects = ledger.cancel(id);
+            }
+            apply(effects);
+        }
+
+        @Override
+        public void removed(String key, long revision)
+        {
+            synchronized (ledger)
+            {
+                JobKeys.idOfJob(key).ifPresent(ledger::forget);
+            }
+        }
+
+        @Override
+        public void listed(long revision)
+        {
+            recorded = Map.of();
+            jobsListed = true;
+            wake();
+        }
+    }
+
+    /** Opens and ends sessions as workers come and go. */
+    private final class WorkerListener implements KeyFollower.Listener
+    {
+        @Override
+        public void put(String key, byte[] value, long revision)
+        {
+            platform.readWorker(key, value).ifPresent(this::list);
+        }
+
+        private void list(WorkerEntry entry)
+        {
+            WorkerSlot slot;
+            synchronized (ledger)
+            {
+                slot = ledger.list(entry);
+            }
+            if (!sessions.containsKey(entry.id()))
+            {
+                WorkerSession session = new WorkerSession(OwnerTerm.this, slot, platform.openWorker(entry));
+                sessions.put(entry.id(), session);
+                supervisor.start("worker-" + entry.id(), session);
+            }
+            wake();
+        }
+
+        @Override
+        public void removed(String key, long revision)
+        {
+            String id = platform.workerId(key);
+            synchronized (ledger)
+            {
+                ledger.worker(id).ifPresent(slot -> slot.setEntry(null));
+            }
+        }
+
+        @Override
+        public void listed(long revision)
+        {
+            wake();
+        }
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -0,0 +1,129 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.gaugehollow.job.JobProgress.StepProgress;
+import org.gaugehollow.job.StepSpec;
+
+/** One step of one repetition of a job in the owner's memory. Guarded by the ledger's lock. */
+final class Step
+{
+    private final Job job;
+    private final int round;
+    private final int number;
+    private final StepSpec spec;
+    private final String name;
+    private final List<Task> tasks = new ArrayList<>();
+    private int failedGangRun;
+    private int gangFailures;
+
+    Step(Job job, int round, int number, StepSpec spec)
+    {
+        this.job = job;
+        this.round = round;
+        this.number = number;
+        this.spec = spec;
+        this.name = TaskName.stepName(job.id(), round, number);
+        for (int i = 0; i < spec.count(); i++)
+        {
+            tasks.add(new Task(this, i));
+        }
+    }
+
+    boolean isDone()
+    {
+        return tasks.stream().allMatch(task -> task.phase() == Task.Phase.DONE);
+    }
+
+    boolean hasWaiting()
+    {
+        return tasks.stream().anyMatch(task -> task.phase() == Task.Phase.WAITING);
+    }
+
+    /** The tasks that wait for a start. */
+    List<Task> waiting()
+    {
+        return tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING).toList();
+    }
+
+    /** Whether no task of it takes room anywhere. */
+    boolean isIdle()
+    {
+        return tasks.stream().noneMatch(Task::occupies);
+    }
+
+    /** The run that all members of a gang start next. */
+    int nextGangRun()
+    {
+        return tasks.stream().mapToInt(Task::run).max().orElse(0) + 1;
+    }
+
+    /** The saved state that all members of a gang go on from; null if there is none. */
+    String gangCheckpoint()
+    {
+        return tasks.stream().map(Task::checkpoint).filter(c -> c != null).findFirst().orElse(null);
+    }
+
+    /** One member's saved state serves for its gang. */
+    void savedByGang(String state)
+    {
+        tasks.forEach(task -> task.saved(state));
+    }
+
+    /** Counts a failed run of the gang once, however many members report it. */
+    void gangFailed(int run)
+    {
+        if (run > failedGangRun)
+        {
+            failedGangRun = run;
+            gangFailures++;
+            tasks.getFirst().failed();
+        }
+    }
+
+    /** How many tasks of the step a worker holds. */
+    long countOn(WorkerSlot slot)
+    {
+        return tasks.stream().filter(task -> task.worker() == slot).count();
+    }
+
+    StepProgress progress()
+    {
+        return new StepProgress(tasks.stream().map(Task::progress).toList());
+    }
+
+    Job job()
+    {
+        return job;
+    }
+
+    int round()
+    {
+        return round;
+    }
+
+    int number()
+    {
+        return number;
+    }
+
+    StepSpec spec()
+    {
+        return spec;
+    }
+
+    String name()
+    {
+        return name;
+    }
+
+    List<Task> tasks()
+    {
+        return tasks;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -0,0 +1,248 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import org.gaugehollow.job.JobProgress.TaskProgress;
+
+/** One task in the owner's memory. Guarded by the ledger's lock. */
+final class Task
+{
+    /** Where a task stands. */
+    enum Phase
+    {
+        /** Its turn has come or will come; nothing of it runs. */
+        WAITING,
+        /** A start may have been sent; whether it arrived is not known. */
+        ORDERED,
+        /** The worker has it. */
+        RUNNING,
+        /** A stop may have been sent; it counts as running until its end is known. */
+        STOPPING,
+        /** A run ended well. */
+        DONE
+    }
+
+    /** An order that is not settled yet. */
+    static final long UNSETTLED = Long.MAX_VALUE;
+
+    private final Step step;
+    private final int index;
+    private Phase phase = Phase.WAITING;
+    private int run;
+    private int failures;
+    private String checkpoint;
+    private WorkerSlot worker;
+    private long settledNanos = UNSETTLED;
+    private long startedNanos;
+    private int percent;
+    private long movedNanos;
+    private int pace = 100;
+    private double gauge;
+
+    Task(Step step, int index)
+    {
+        this.step = step;
+        this.index = index;
+    }
+
+    /** Takes over what an earlier owner recorded. */
+    void restore(TaskProgress progress, WorkerSlot recordedWorker, long nowNanos)
+    {
+        run = progress.run();
+        failures = progress.failures();
+        checkpoint = progress.checkpoint();
+        if (progress.done())
+        {
+            phase = Phase.DONE;
+        }
+        else if (recordedWorker != null)
+        {
+            order(recordedWorker, run, nowNanos);
+            settledNanos = Long.MIN_VALUE;
+        }
+    }
+
+    TaskProgress progress()
+    {
+        return new TaskProgress(run, failures, phase == Phase.DONE, worker == null ? null : worker.id(),
+                checkpoint);
+    }
+
+    /** A start is about to be recorded and sent. */
+    void order(WorkerSlot target, int newRun, long nowNanos)
+    {
+        phase = Phase.ORDERED;
+        run = newRun;
+        worker = target;
+        settledNanos = UNSETTLED;
+        startedNanos = nowNanos;
+        movedNanos = nowNanos;
+        percent = 0;
+        pace = 100;
+        gauge = 0;
+        target.take(this);
+    }
+
+    /** The worker has the run. */
+    void begun(long nowNanos)
+    {
+        if (phase == Phase.ORDERED)
+        {
+            phase = Phase.RUNNING;
+            startedNanos = nowNanos;
+            movedNanos = nowNanos;
+        }
+    }
+
+    /**
+     * From now on, a look that was sent later and does not show the run proves that it is not there.
+     */
+    void settle(long nowNanos)
+    {
+        settledNanos = nowNanos;
+    }
+
+    /** A stop is about to be sent. */
+    void stopping()
+    {
+        phase = Phase.STOPPING;
+        settledNanos = UNSETTLED;
+    }
+
+    /** Nothing of it runs any more; it waits for another run. */
+    void release()
+    {
+        leaveWorker();
+        phase = Phase.WAITING;
+    }
+
+    /** A run ended well. */
+    void done()
+    {
+        leaveWorker();
+        phase = Phase.DONE;
+        checkpoint = null;
+    }
+
+    private void leaveWorker()
+    {
+        if (worker != null)
+        {
+            worker.release(this);
+            worker = null;
+        }
+        settledNanos = UNSETTLED;
+    }
+
+    /** Takes note of what a look at the worker shows. */
+    void observe(int newPercent, double newGauge, long nowNanos)
+    {
+        if (newPercent != percent)
+        {
+            percent = newPercent;
+            movedNanos = nowNanos;
+        }
+        gauge = newGauge;
+    }
+
+    void failed()
+    {
+        failures++;
+    }
+
+    void saved(String state)
+    {
+        if (state != null && !state.isEmpty())
+        {
+            checkpoint = state;
+        }
+    }
+
+    void setPace(int newPace)
+    {
+        pace = newPace;
+    }
+
+    /** Whether it takes room on its worker. */
+    boolean occupies()
+    {
+        return worker != null;
+    }
+
+    boolean isAt(WorkerSlot slot, int itsRun)
+    {
+        return worker == slot && run == itsRun;
+    }
+
+    Step step()
+    {
+        return step;
+    }
+
+    int index()
+    {
+        return index;
+    }
+
+    Phase phase()
+    {
+        return phase;
+    }
+
+    int run()
+    {
+        return run;
+    }
+
+    int failures()
+    {
+        return failures;
+    }
+
+    String checkpoint()
+    {
+        return checkpoint;
+    }
+
+    WorkerSlot worker()
+    {
+        return worker;
+    }
+
+    long settledNanos()
+    {
+        return settledNanos;
+    }
+
+    long startedNanos()
+    {
+        return startedNanos;
+    }
+
+    long movedNanos()
+    {
+        return movedNanos;
+    }
+
+    int percent()
+    {
+        return percent;
+    }
+
+    int pace()
+    {
+        return pace;
+    }
+
+    double gauge()
+    {
+        return gauge;
+    }
+
+    String name()
+    {
+        return step.name() + '.' + index;
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -0,0 +1,155 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.worker.WorkerEntry;
+
+/** One life of a worker in the owner's memory. Guarded by the ledger's lock. */
+final class WorkerSlot
+{
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** A worker's clock may run this much slower than ours. */
+    private static final double SLOWEST_CLOCK = 1.02;
+
+    private final String id;
+    private final Set<Task> tasks = new LinkedHashSet<>();
+    private final WorkerHealth health = new WorkerHealth();
+    private WorkerEntry entry;
+    private Amounts used = Amounts.NONE;
+    private boolean held;
+    private boolean foreignRuns;
+    private long clockMillis;
+    private long clockReadNanos;
+    private long deadlineMillis;
+    private long leaseEndNanos;
+
+    /** A worker of which nothing is known yet but that its runs have ended by then. */
+    WorkerSlot(String id, long leaseEndNanos)
+    {
+        this.id = id;
+        this.leaseEndNanos = leaseEndNanos;
+    }
+
+    void take(Task task)
+    {
+        if (tasks.add(task))
+        {
+            used = used.plus(task.step().spec().needs());
+        }
+    }
+
+    void release(Task task)
+    {
+        if (tasks.remove(task))
+        {
+            used = used.minus(task.step().spec().needs());
+        }
+    }
+
+    Amounts free()
+    {
+        return entry == null ? Amounts.NONE : entry.capacity().minusAtMost(used);
+    }
+
+    /** Whether tasks may be started on it. */
+    boolean accepts()
+    {
+        return entry != null && held && !entry.draining() && !foreignRuns;
+    }
+
+    /** Takes note of the worker's clock as an answer brought it. */
+    void readClock(long millis, long nowNanos)
+    {
+        if (millis > 0)
+        {
+            clockMillis = millis;
+            clockReadNanos = nowNanos;
+            boundLease();
+        }
+    }
+
+    /** The deadline for an order that is to let the worker's runs live for some time from now. */
+    long deadlineIn(long leaseMillis, long nowNanos)
+    {
+        if (clockMillis == 0)
+        {
+            return 0;
+        }
+        long deadline = clockMillis + (nowNanos - clockReadNanos) / NANOS_PER_MILLI + leaseMillis;
+        deadlineMillis = Math.max(deadlineMillis, deadline);
+        boundLease();
+        return deadline;
+    }
+
+    private void boundLease()
+    {
+        if (deadlineMillis > 0 && clockMillis > 0)
+        {
+            double left = Math.max(0, deadlineMillis - clockMillis) * SLOWEST_CLOCK;
+            leaseEndNanos = clockReadNanos + (long) (left * NANOS_PER_MILLI);
+        }
+    }
+
+    /** When everything that runs there has surely been ended by the worker itself. */
+    long leaseEndNanos()
+    {
+        return leaseEndNanos;
+    }
+
+    void setEntry(WorkerEntry newest)
+    {
+        entry = newest;
+    }
+
+    void setHeld(boolean value)
+    {
+        held = value;
+    }
+
+    void setForeignRuns(boolean value)
+    {
+        foreignRuns = value;
+    }
+
+    boolean held()
+    {
+        return held;
+    }
+
+    String id()
+    {
+        return id;
+    }
+
+    WorkerEntry entry()
+    {
+        return entry;
+    }
+
+    WorkerHealth health()
+    {
+        return health;
+    }
+
+    Amounts used()
+    {
+        return used;
+    }
+
+    List<Task> tasks()
+    {
+        return List.copyOf(tasks);
+    }
+
+    boolean isIdle()
+    {
+        return tasks.isEmpty();
+    }
+}
--- a/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
@@ -29,15 +29,20 @@
                 .definedBy("..platform..").layer("upstream").definedBy("..upstream..").layer("peer")
                 .definedBy("..peer..").layer("config").definedBy("..config..").layer("membership")
                 .definedBy("..membership..").layer("keys").definedBy("..keys..").layer("entry")
-                .definedBy("..entry..").whereLayer("entry").mayNotBeAccessedByAnyLayer().whereLayer("keys")
-                .mayOnlyBeAccessedByLayers("entry").whereLayer("membership")
+                .definedBy("..entry..").layer("job").definedBy("..job..").layer("worker")
+                .definedBy("..worker..").layer("schedule").definedBy("..schedule..").layer("box")
+                .definedBy("..box..").whereLayer("box").mayNotBeAccessedByAnyLayer().whereLayer("schedule")
+                .mayOnlyBeAccessedByLayers("box").whereLayer("worker")
+                .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("job")
+                .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("entry").mayNotBeAccessedByAnyLayer()
+                .whereLayer("keys").mayOnlyBeAccessedByLayers("entry").whereLayer("membership")
                 .mayOnlyBeAccessedByLayers("keys", "entry").whereLayer("config")
                 .mayOnlyBeAccessedByLayers("membership", "keys", "entry").whereLayer("peer")
-                .mayOnlyBeAccessedByLayers("membership", "keys", "entry").whereLayer("upstream")
+                .mayOnlyBeAccessedByLayers("membership", "keys", "entry", "box").whereLayer("upstream")
                 .mayOnlyBeAccessedByLayers("entry").whereLayer("platform")
-                .mayOnlyBeAccessedByLayers("config", "membership", "entry").whereLayer("placement")
-                .mayOnlyBeAccessedByLayers("config", "entry").whereLayer("settings")
-                .mayOnlyBeAccessedByLayers("entry").check(CLASSES);
+                .mayOnlyBeAccessedByLayers("config", "membership", "entry", "schedule", "box")
+                .whereLayer("placement").mayOnlyBeAccessedByLayers("config", "entry", "schedule", "box")
+                .whereLayer("settings").mayOnlyBeAccessedByLayers("entry").check(CLASSES);
     }
 
     @Test
