--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -0,0 +1,128 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.junit.jupiter.api.Test;
+
+/** Accepting, cancelling and showing jobs, with a store whose answers get lost. */
+class JobIntakeTest
+{
+    private static final String ID = "00000000000000aa";
+    private static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
+    private static final QueueSpec OTHER_QUEUE = new QueueSpec("batch", "service", 2, 2, 250, 1.5, null);
+    private static final JobSpec JOB = new JobSpec("text", List.of(new StepSpec(1, 1, 1, 0, 1, List.of(),
+            false, false, false, null, null, 0, false, false, null, 0, false, 0)), 0, 0, 0);
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakeStore store = new FakeStore();
+    private final JobIntake box = new JobIntake(store, events);
+    private final JobIntake otherBox = new JobIntake(store, events);
+
+    private static long in(long millis)
+    {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static ResultCode codeOf(ThrowingCall call)
+    {
+        return assertThrows(GaugehollowException.class, call::run).code();
+    }
+
+    /** A call that is expected to fail. */
+    private interface ThrowingCall
+    {
+        void run() throws InterruptedException;
+    }
+
+    @Test
+    void anAcceptedJobIsKnownToEveryBox() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+    }
+
+    @Test
+    void theSameIdAtTwoBoxesIsOneJob() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        otherBox.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
+        assertThat(store.get(JobKeys.job(ID)).orElseThrow().modRevision()).isEqualTo(2);
+    }
+
+    @Test
+    void aLostAnswerIsSettledBySendingTheSameWriteAgain() throws InterruptedException
+    {
+        store.loseAnswers(1);
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(box.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+    }
+
+    @Test
+    void anOutcomeThatStaysUnknownIsNeverToldAsNotRun()
+    {
+        store.loseAnswers(1_000);
+        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(400))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        assertThat(ResultCode.STORE_OUTCOME_UNKNOWN.httpStatus()).isEqualTo(504);
+    }
+
+    @Test
+    void aStoreThatIsDownRefusesAtOnceAndSaysWhenToComeBack()
+    {
+        store.setDown(true);
+        long begin = System.nanoTime();
+        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(3_000))))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(System.nanoTime() - begin).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_000));
+        assertThat(ResultCode.STORE_UNAVAILABLE.retryAfterMillis()).isGreaterThan(0);
+    }
+
+    @Test
+    void aJobOfAnotherQueueIsNotKnownHere() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(codeOf(() -> box.cancel(OTHER_QUEUE, ID, in(1_000)))).isEqualTo(ResultCode.UNKNOWN_JOB);
+    }
+
+    @Test
+    void aCancelledJobIsShownSoUnlessItWasOverBefore() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        box.cancel(QUEUE, ID, in(1_000));
+        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
+        store.commit(new StoreTransaction().put(JobKeys.progress(ID),
+                Json.write(new JobProgress(JobState.COMPLETED, null))));
+        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.COMPLETED);
+    }
+
+    @Test
+    void aStateThatCannotBeReadIsNotGuessed() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        store.setDown(true);
+        assertThat(codeOf(() -> box.state(QUEUE, ID))).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -0,0 +1,142 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.supervise.Supervisor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Writes of progress under lost answers, late writes and a newer owner. */
+class JournalTest
+{
+    private static final byte[] TERM = "term".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] OTHER = "other".getBytes(StandardCharsets.UTF_8);
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakeStore store = new FakeStore();
+    private final Ledger ledger = new Ledger(System::nanoTime, 0);
+    private final Supervisor supervisor = new Supervisor("test", events);
+    private OwnerLease owner;
+    private Journal journal;
+
+    @BeforeEach
+    void own() throws InterruptedException
+    {
+        long revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, 0).put(JobKeys.OWNER, TERM)
+                .put(JobKeys.JOURNAL, TERM)).orElseThrow();
+        owner = new OwnerLease("box", revision, 1);
+        journal = new Journal(store, ledger, owner, events);
+        supervisor.start("journal", journal);
+    }
+
+    @AfterEach
+    void stop()
+    {
+        supervisor.close();
+    }
+
+    private static Job job()
+    {
+        return new Job(TestJobs.job(TestJobs.ID, TestJobs.step(1, 1, List.of())), 1);
+    }
+
+    private boolean isWritten(Job job) throws InterruptedException
+    {
+        CountDownLatch written = new CountDownLatch(1);
+        journal.mark(List.of(job), written::countDown);
+        return written.await(2, TimeUnit.SECONDS);
+    }
+
+    private JobState stored()
+    {
+        return JobCodec.readProgress(store.get(JobKeys.progress(TestJobs.ID)).orElseThrow().value()).state();
+    }
+
+    @Test
+    void progressIsReportedAsWrittenOnceTheStoreHasIt() throws InterruptedException
+    {
+        Job job = job();
+        job.setState(JobState.COMPLETED);
+        assertThat(isWritten(job)).isTrue();
+        assertThat(stored()).isEqualTo(JobState.COMPLETED);
+    }
+
+    @Test
+    void aWriteWhoseAnswerWasLostIsWrittenAgain() throws InterruptedException
+    {
+        store.loseAnswers(1);
+        assertThat(isWritten(job())).isTrue();
+        assertThat(isWritten(job())).isTrue();
+    }
+
+    @Test
+    void aWriteThatTakesEffectLateCannotUndoANewerOne() throws InterruptedException
+    {
+        Job job = job();
+        assertThat(isWritten(job)).isTrue();
+        long before = store.get(JobKeys.JOURNAL).orElseThrow().modRevision();
+        job.setState(JobState.COMPLETED);
+        assertThat(isWritten(job)).isTrue();
+        assertThat(store.commit(new StoreTransaction().require(JobKeys.JOURNAL, before)
+                .put(JobKeys.progress(TestJobs.ID), OTHER))).isEmpty();
+    }
+
+    @Test
+    void anOwnerThatWasReplacedWritesNothingMore() throws InterruptedException
+    {
+        assertThat(isWritten(job())).isTrue();
+        store.commit(new StoreTransaction().put(JobKeys.OWNER, OTHER).put(JobKeys.JOURNAL, OTHER));
+        Job late = job();
+        late.setState(JobState.FAILED);
+        CountDownLatch written = new CountDownLatch(1);
+        journal.mark(List.of(late), written::countDown);
+        assertThat(owner.awaitEnd(2_000)).isTrue();
+        assertThat(written.await(100, TimeUnit.MILLISECONDS)).isFalse();
+        assertThat(stored()).isEqualTo(JobState.QUEUED);
+    }
+
+    @Test
+    void whileTheStoreIsDownNothingCountsAsWritten() throws InterruptedException
+    {
+        store.setDown(true);
+        CountDownLatch written = new CountDownLatch(1);
+        journal.mark(List.of(job()), written::countDown);
+        assertThat(written.await(200, TimeUnit.MILLISECONDS)).isFalse();
+        store.setDown(false);
+        assertThat(written.await(2, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void theStoreSaysWhyItDidNotWrite()
+    {
+        store.setDown(true);
+        try
+        {
+            store.get(JobKeys.JOURNAL);
+        }
+        catch (GaugehollowException e)
+        {
+            assertThat(e.code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+            return;
+        }
+        throw new AssertionError("a store that is down answered");
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -0,0 +1,75 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.List;
+import java.util.Set;
+
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.worker.HoldAnswer;
+import org.gaugehollow.worker.HoldAnswer.EndedRun;
+import org.gaugehollow.worker.HoldAnswer.RunningRun;
+import org.gaugehollow.worker.OrderResult;
+import org.gaugehollow.worker.RunEnd;
+import org.gaugehollow.worker.WorkerEntry;
+
+/** Jobs, workers and answers for the tests of this package. */
+final class TestJobs
+{
+    static final String ID = "00000000000000aa";
+    static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
+
+    private TestJobs()
+    {
+    }
+
+    static StepSpec step(int count, int cpu, List<Integer> dependsOn)
+    {
+        return new StepSpec(count, cpu, 100, 0, 800, dependsOn, false, false, false, null, null, 0, false,
+                false, null, 0, false, 0);
+    }
+
+    static StepSpec gang(int count, int cpu)
+    {
+        return new StepSpec(count, cpu, 100, 0, 800, List.of(), true, true, false, null, null, 0, false,
+                false, null, 0, false, 0);
+    }
+
+    static StepSpec longRunning(int count)
+    {
+        return new StepSpec(count, 1_000, 100, 0, 800, List.of(), false, false, false, null, null, 1, false,
+                true, null, 0, false, 1);
+    }
+
+    static JobRecord job(String id, StepSpec... steps)
+    {
+        return new JobRecord(id, QUEUE, new JobSpec("text", List.of(steps), 0, 0, 0));
+    }
+
+    static WorkerEntry worker(String id, int cpu)
+    {
+        return new WorkerEntry(id, "service", "127.0.0.1:1", "hall", false, -1,
+                new Amounts(0, cpu, 32_768, 0), Set.of("a", "r1-1"), "r1-1");
+    }
+
+    static HoldAnswer answer(List<RunningRun> running, List<EndedRun> ended)
+    {
+        return new HoldAnswer(OrderResult.DONE, 1_000, running, ended);
+    }
+
+    static RunningRun running(Task task)
+    {
+        return new RunningRun(task.name(), task.run(), "", 10, 0);
+    }
+
+    static EndedRun ended(long number, Task task, RunEnd how)
+    {
+        return new EndedRun(number, task.name(), task.run(), how, "");
+    }
+}
