Take ends note of only once all jobs are known; one call a line to the advice service

Now workers are followed after the jobs, calls for advice wait here by urgency and are bounded by the room that is free, links belong to lives.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -106,27 +106,48 @@
             return;
         }
         String address = new String(value, StandardCharsets.UTF_8);
-        String before = addresses.put(peer, address);
-        if (before == null)
+        if (!addresses.containsKey(peer))
         {
+            dropEarlierLives(address);
+            addresses.put(peer, address);
             events.record(EventType.PEER_CONNECTED, peer, "registered at " + address);
             lines.add(peer, new PeerAdvice(directory.link(address)));
         }
     }
 
-    @Override
-    public void removed(String key, long revision)
+    /**
+     * A box that starts again has a new id at the same address; the link to its life before is of no
+     * use.
+     */
+    private void dropEarlierLives(String address)
+    {
+        for (Map.Entry<String, String> entry : addresses.entrySet())
+        {
+            if (entry.getValue().equals(address))
+            {
+                drop(entry.getKey(), "another life registered at " + address);
+            }
+        }
+    }
+
+    private void drop(String peer, String why)
     {
-        String peer = key.substring(JobKeys.BOXES.length());
         String address = addresses.remove(peer);
         if (address != null)
         {
-            events.record(EventType.PEER_LOST, peer, "no longer registered at revision " + revision);
+            events.record(EventType.PEER_LOST, peer, why);
             lines.remove(peer);
             directory.drop(address);
         }
     }
 
+    @Override
+    public void removed(String key, long revision)
+    {
+        String peer = key.substring(JobKeys.BOXES.length());
+        drop(peer, "no longer registered at revision " + revision);
+    }
+
     @Override
     public void listed(long revision)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -106,8 +106,7 @@
         this.root = new Supervisor(id, events);
         this.config = new CellConfigKeeper(platform, events);
         this.directory = new PeerDirectory(loops, events, metrics);
-        AdviceLines lines = new AdviceLines();
-        lines.add(id, platform.advice());
+        AdviceLines lines = new AdviceLines(platform.advice(), events);
         this.registry = new BoxRegistry(id, settings.peerAddress(), platform.store(), directory, lines,
                 events);
         this.election = new OwnerElection(id, platform, config, lines,
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -12,10 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.gaugehollow.event.EventLog;
-import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.AdviceSpec;
-import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.worker.Advice;
 
 /**
@@ -46,15 +43,13 @@
 
     private final Ledger ledger;
     private final AdviceLines lines;
-    private final EventLog events;
     private final Runnable onAnswer;
     private final Map<String, StepAdvice> steps = new HashMap<>();
 
-    AdviceDesk(Ledger ledger, AdviceLines lines, EventLog events, Runnable onAnswer)
+    AdviceDesk(Ledger ledger, AdviceLines lines, Runnable onAnswer)
     {
         this.ledger = ledger;
         this.lines = lines;
-        this.events = events;
         this.onAnswer = onAnswer;
     }
 
@@ -126,14 +121,13 @@
 
     private void ask(Step step, StepAdvice advice, List<String> workers, AdviceSpec spec)
     {
-        Advice answer = null;
+        AdviceLines.Call call = new AdviceLines.Call(step.name(), workers,
+                spec.expectedMillis(workers.size()), step.job().queue().priority(),
+                step.job().acceptedRevision());
+        Optional<Advice> answer = Optional.empty();
         try
         {
-            answer = lines.advise(step.name(), workers, spec.expectedMillis(workers.size()));
-        }
-        catch (GaugehollowException e)
-        {
-            events.record(EventType.ADVICE_MISSING, step.name(), e.getMessage());
+            answer = lines.advise(call, () -> isWanted(step));
         }
         catch (InterruptedException e)
         {
@@ -146,19 +140,28 @@
         onAnswer.run();
     }
 
-    private static void take(StepAdvice advice, List<String> workers, Advice answer, AdviceSpec spec)
+    private boolean isWanted(Step step)
+    {
+        synchronized (ledger)
+        {
+            return !step.job().state().isFinal() && step.hasWaiting();
+        }
+    }
+
+    private static void take(StepAdvice advice, List<String> workers, Optional<Advice> answer,
+            AdviceSpec spec)
     {
         long now = System.nanoTime();
         advice.asking = false;
-        if (answer == null)
+        if (answer.isEmpty())
         {
             advice.notBeforeNanos = now + PAUSE_AFTER_FAULT_NANOS;
             return;
         }
         advice.asked.addAll(workers);
-        long valid = answer.validMillis() > 0 ? answer.validMillis() : spec.validMillis();
+        long valid = answer.get().validMillis() > 0 ? answer.get().validMillis() : spec.validMillis();
         long end = now + (valid - MARGIN_MILLIS) * NANOS_PER_MILLI;
-        answer.tickets()
+        answer.get().tickets()
                 .forEach(ticket -> advice.healthy.put(ticket.worker(), new HeldTicket(ticket.text(), end)));
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceLines.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceLines.java
@@ -4,119 +4,193 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.model.GaugehollowException;
-import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.worker.Advice;
 import org.gaugehollow.worker.AdvicePort;
 
 /**
  * The boxes' lines to the advice service. The service handles the calls of one box in turn, so each
- * call goes to the line on which it would wait least.
+ * line carries one call at a time and the others wait here, the most urgent first. The owner's own
+ * line is kept for short calls, so that urgent work never waits behind a long one.
  */
 public final class AdviceLines
 {
-    private static final long FAULT_NANOS = 2_000_000_000L;
-    private static final int SLACK_MILLIS = 700;
-    private static final int TRIES = 3;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long FAULT_MILLIS = 1_000;
+    private static final int SLACK_MILLIS = 400;
+    private static final int TRIES = 4;
+    private static final double SHORT_MILLIS = 120;
+
+    /**
+     * A call that waits for a line.
+     *
+     * @param step the step's full name
+     * @param workers the workers to judge
+     * @param expectedMillis how long the service needs for it
+     * @param priority 0 goes first
+     * @param order among calls of one priority, the lower goes first
+     */
+    record Call(String step, List<String> workers, double expectedMillis, int priority, long order)
+    {
+        boolean isShort()
+        {
+            return expectedMillis <= SHORT_MILLIS;
+        }
+    }
 
     /** One box's line. */
     private static final class Line
     {
         private final AdvicePort port;
-        private double queuedMillis;
-        private long faultUntilNanos = Long.MIN_VALUE;
+        private final boolean own;
+        private boolean busy;
+        private long faultUntilNanos = System.nanoTime();
 
-        Line(AdvicePort port)
+        Line(AdvicePort port, boolean own)
         {
             this.port = port;
+            this.own = own;
+        }
+
+        boolean isFree(Call call, int lines)
+        {
+            boolean allowed = !own || call.isShort() || lines == 1;
+            return allowed && !busy && System.nanoTime() - faultUntilNanos >= 0;
         }
     }
 
-    private final Map<String, Line> lines = new ConcurrentHashMap<>();
+    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final TreeSet<Call> waiting = new TreeSet<>(
+            Comparator.comparingInt(Call::priority).thenComparingLong(Call::order).thenComparing(Call::step));
+    private final EventLog events;
+
+    /**
+     * @param own this box's line
+     * @param events where faults of lines are recorded
+     */
+    public AdviceLines(AdvicePort own, EventLog events)
+    {
+        this.events = events;
+        lines.put("", new Line(own, true));
+    }
 
     /**
-     * @param box the box's id
+     * @param box another box's id
      * @param port its line
      */
-    public void add(String box, AdvicePort port)
+    public synchronized void add(String box, AdvicePort port)
     {
-        lines.putIfAbsent(box, new Line(port));
+        lines.putIfAbsent(box, new Line(port, false));
+        notifyAll();
     }
 
     /** @param box a box that is gone */
-    public void remove(String box)
+    public synchronized void remove(String box)
     {
         lines.remove(box);
     }
 
     /**
-     * Asks over the line with the shortest queue; a line that fails is left out for a while.
+     * Waits for a line and asks; a line that fails is left out for a while and the call goes to
+     * another.
      *
-     * @param step the step's full name
-     * @param workers the workers to judge
-     * @param expectedMillis how long the service needs for the call
-     * @return the advice
+     * @param call what to ask
+     * @param isWanted whether the answer is still of use, asked when the call's turn comes
+     * @return the advice, or empty if it was no longer wanted or no line gave an answer
      * @throws InterruptedException if the process stops
-     * @throws GaugehollowException if no line gave an answer
      */
-    public Advice advise(String step, List<String> workers, double expectedMillis) throws InterruptedException
+    Optional<Advice> advise(Call call, BooleanSupplier isWanted) throws InterruptedException
     {
-        GaugehollowException last = new GaugehollowException(ResultCode.PEER_UNREACHABLE,
-                "no line for advice");
         for (int i = 0; i < TRIES; i++)
         {
-            Line line = take(expectedMillis);
-            if (line == null)
-            {
-                throw last;
-            }
+            Line line = take(call);
             try
             {
-                return line.port.advise(step, workers, (int) (line.queuedMillis * 2) + SLACK_MILLIS);
+                if (!isWanted.getAsBoolean())
+                {
+                    return Optional.empty();
+                }
+                int timeout = (int) (call.expectedMillis() * 2) + SLACK_MILLIS;
+                return Optional.of(line.port.advise(call.step(), call.workers(), timeout));
             }
             catch (GaugehollowException e)
             {
-                last = e;
+                events.record(EventType.ADVICE_MISSING, call.step(), e.getMessage());
                 fault(line);
             }
             finally
             {
-                giveBack(line, expectedMillis);
+                giveBack(line);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private synchronized Line take(Call call) throws InterruptedException
+    {
+        waiting.add(call);
+        try
+        {
+            while (true)
+            {
+                Line line = freeLine(call);
+                if (line != null && !isBehindAnother(call, line))
+                {
+                    line.busy = true;
+                    return line;
+                }
+                wait(FAULT_MILLIS / 2);
             }
         }
-        throw last;
+        finally
+        {
+            waiting.remove(call);
+            notifyAll();
+        }
     }
 
-    private synchronized Line take(double expectedMillis)
+    private Line freeLine(Call call)
     {
-        long now = System.nanoTime();
-        Line best = null;
         for (Line line : lines.values())
         {
-            boolean usable = now - line.faultUntilNanos > 0 || line.faultUntilNanos == Long.MIN_VALUE;
-            if (usable && (best == null || line.queuedMillis < best.queuedMillis))
+            if (line.isFree(call, lines.size()))
             {
-                best = line;
+                return line;
             }
         }
-        if (best != null)
+        return null;
+    }
+
+    private boolean isBehindAnother(Call call, Line line)
+    {
+        for (Call other : waiting.headSet(call))
         {
-            best.queuedMillis += expectedMillis;
+            if (line.isFree(other, lines.size()))
+            {
+                return true;
+            }
         }
-        return best;
+        return false;
     }
 
-    private synchronized void giveBack(Line line, double expectedMillis)
+    private synchronized void giveBack(Line line)
     {
-        line.queuedMillis = Math.max(0, line.queuedMillis - expectedMillis);
+        line.busy = false;
+        notifyAll();
     }
 
     private synchronized void fault(Line line)
     {
-        line.faultUntilNanos = System.nanoTime() + FAULT_NANOS;
+        line.faultUntilNanos = System.nanoTime() + FAULT_MILLIS * NANOS_PER_MILLI;
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -333,6 +333,7 @@
     {
         Step step = task.step();
         Job job = step.job();
+        task.failedOn(slot);
         if (step.spec().longRunning())
         {
             slot.health().failed(task.name(), nanoTime.getAsLong());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -64,7 +64,7 @@
         this.supervisor = supervisor;
         this.config = config;
         this.journal = new Journal(platform.store(), ledger, lease, events);
-        this.desk = new AdviceDesk(ledger, lines, events, this::wake);
+        this.desk = new AdviceDesk(ledger, lines, this::wake);
         this.planner = new Planner(ledger, desk, score);
     }
 
@@ -74,12 +74,17 @@
         recorded = readProgress();
         supervisor.start("journal", journal);
         supervisor.start("jobs", new KeyFollower(platform.store(), JobKeys.JOBS, new JobListener(), events));
-        supervisor.start("workers",
-                new KeyFollower(platform.store(), platform.workerPrefix(), new WorkerListener(), events));
         supervisor.start("planner", this::planForever);
         supervisor.start("summary", new SummaryWriter(platform.store(), ledger, lease));
     }
 
+    /** Workers are looked at only once all jobs are known: an end of an unknown job would be lost. */
+    private void followWorkers()
+    {
+        supervisor.start("workers",
+                new KeyFollower(platform.store(), platform.workerPrefix(), new WorkerListener(), events));
+    }
+
     private Map<String, JobProgress> readProgress() throws InterruptedException
     {
         while (!lease.isOver())
@@ -335,7 +340,11 @@
         public void listed(long revision)
         {
             recorded = Map.of();
-            jobsListed = true;
+            if (!jobsListed)
+            {
+                jobsListed = true;
+                followWorkers();
+            }
             wake();
         }
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -65,6 +65,7 @@
     private final Ledger ledger;
     private final Tickets tickets;
     private final WorkerScore score;
+    private Amounts askable = Amounts.NONE;
 
     Planner(Ledger ledger, Tickets tickets, WorkerScore score)
     {
@@ -77,6 +78,7 @@
     Plan plan(long nowNanos, long wallMillis)
     {
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
+        askable = freeInAll();
         for (Job job : ledger.byUrgency())
         {
             job.beginDueRounds(wallMillis);
@@ -112,12 +114,25 @@
         {
             step.job().setState(JobState.RUNNING);
         }
-        if (advised && step.hasWaiting() && hasRoomSomewhere(step, possible))
+        if (advised && step.hasWaiting() && hasRoomSomewhere(step, possible)
+                && askable.fits(step.spec().needs()))
         {
             plan.needAdvice().add(step);
+            askable = askable.minusAtMost(times(step.spec().needs(), step.waiting().size()));
         }
     }
 
+    /** What all workers together have free; advice is asked for no more tasks than could start now. */
+    private Amounts freeInAll()
+    {
+        Amounts sum = Amounts.NONE;
+        for (WorkerSlot slot : ledger.workers())
+        {
+            sum = slot.accepts() ? sum.plus(slot.free()) : sum;
+        }
+        return sum;
+    }
+
     /** The workers that may run the step whatever room they have now; avoided ones only if all are. */
     private List<WorkerSlot> possible(Step step, long nowNanos)
     {
@@ -235,6 +250,7 @@
         rating += slot.health().isAvoided(nowNanos) ? AVOIDED_WEIGHT : 0;
         rating += slot.health().hasFailures() ? FAILURE_WEIGHT : 0;
         rating += task.failures() > 0 && !slot.health().isProven() ? UNPROVEN_WEIGHT : 0;
+        rating += task.hasFailedOn(slot) ? UNPROVEN_WEIGHT : 0;
         boolean far = spec.affinity() != null && !spec.affinity().isEmpty()
                 && !slot.entry().labels().contains(spec.affinity());
         rating += far ? AFFINITY_WEIGHT : 0;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -40,6 +40,7 @@
     private long movedNanos;
     private int pace = 100;
     private double gauge;
+    private String failedOn;
 
     Task(Step step, int index)
     {
@@ -147,11 +148,23 @@
         gauge = newGauge;
     }
 
+    /** A run of it failed. */
     void failed()
     {
         failures++;
     }
 
+    /** Remembers the worker on which a run failed, so that the next one goes elsewhere. */
+    void failedOn(WorkerSlot slot)
+    {
+        failedOn = slot.id();
+    }
+
+    boolean hasFailedOn(WorkerSlot slot)
+    {
+        return slot.id().equals(failedOn);
+    }
+
     void saved(String state)
     {
         if (state != null && !state.isEmpty())
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -0,0 +1,64 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.peer.PeerLink;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.schedule.AdviceLines;
+import org.gaugehollow.worker.Advice;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Boxes that come, go and start again under the same address. */
+class BoxRegistryTest
+{
+    private static final byte[] ADDRESS = "127.0.0.1:1".getBytes(StandardCharsets.UTF_8);
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final NetLoops loops = new NetLoops(Optional.empty());
+    private final PeerDirectory directory = new PeerDirectory(loops, events, new Metrics());
+    private final AdviceLines lines = new AdviceLines((step, workers, timeout) -> new Advice(List.of(), 0),
+            events);
+    private final BoxRegistry registry = new BoxRegistry("self", "127.0.0.1:2", new FakeStore(), directory,
+            lines, events);
+
+    @AfterEach
+    void close()
+    {
+        directory.close();
+        loops.close();
+    }
+
+    @Test
+    void theLinkToABoxThatStartedAgainOutlivesTheEndOfItsRegistrationBefore()
+    {
+        registry.put(JobKeys.BOXES + "a~1", ADDRESS, 1);
+        registry.put(JobKeys.BOXES + "a~2", ADDRESS, 2);
+        PeerLink link = directory.link("127.0.0.1:1");
+        registry.removed(JobKeys.BOXES + "a~1", 3);
+        assertThat(directory.link("127.0.0.1:1")).isSameInstanceAs(link);
+    }
+
+    @Test
+    void theLinkToABoxThatIsGoneIsClosed()
+    {
+        registry.put(JobKeys.BOXES + "a~1", ADDRESS, 1);
+        PeerLink link = directory.link("127.0.0.1:1");
+        registry.removed(JobKeys.BOXES + "a~1", 2);
+        assertThat(directory.link("127.0.0.1:1")).isNotSameInstanceAs(link);
+    }
+}
