--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -71,7 +71,7 @@
     public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
             throws InterruptedException
     {
-        byte[] record = Json.write(new JobRecord(id, queue, job));
+        byte[] record = Json.write(new JobRecord(id, queue, job, System.currentTimeMillis()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
         boolean[] fresh = new boolean[1];
@@ -132,14 +132,33 @@
      */
     public JobState state(QueueSpec queue, String id) throws InterruptedException
     {
+        Optional<StoredValue> stored = store.get(JobKeys.progress(id));
+        if (stored.isPresent())
+        {
+            JobProgress progress = Json.read(stored.get().value(), JobProgress.class,
+                    ResultCode.STORE_BAD_ANSWER);
+            checkQueue(queue, id, progress.queue(), stored.get().modRevision());
+            return progress.state();
+        }
         StoreListing listing = store.list(JobKeys.jobPrefix(id));
         find(queue, id, listing);
-        Optional<StoredValue> stored = store.get(JobKeys.progress(id));
-        JobState state = stored
-                .map(v -> Json.read(v.value(), JobProgress.class, ResultCode.STORE_BAD_ANSWER).state())
-                .orElse(JobState.QUEUED);
         boolean cancelled = listing.values().stream().anyMatch(v -> v.key().equals(JobKeys.cancel(id)));
-        return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
+        return cancelled ? JobState.CANCELLED : JobState.QUEUED;
+    }
+
+    private void checkQueue(QueueSpec asked, String id, String queue, long revision)
+    {
+        if (!queue.equals(asked.name()))
+        {
+            throw unknown(asked, id, revision);
+        }
+    }
+
+    private GaugehollowException unknown(QueueSpec queue, String id, long revision)
+    {
+        events.record(EventType.JOB_REFUSED, id,
+                ResultCode.UNKNOWN_JOB + ": not in " + queue.name() + " at revision " + revision);
+        return new GaugehollowException(ResultCode.UNKNOWN_JOB, "no job " + id + " in " + queue.name());
     }
 
     private void find(QueueSpec queue, String id, StoreListing listing)
@@ -149,15 +168,11 @@
             if (value.key().equals(JobKeys.job(id)))
             {
                 JobRecord record = Json.read(value.value(), JobRecord.class, ResultCode.STORE_BAD_ANSWER);
-                if (record.queue().name().equals(queue.name()))
-                {
-                    return;
-                }
+                checkQueue(queue, id, record.queue().name(), value.modRevision());
+                return;
             }
         }
-        events.record(EventType.JOB_REFUSED, id,
-                ResultCode.UNKNOWN_JOB + ": not in the store at revision " + listing.revision());
-        throw new GaugehollowException(ResultCode.UNKNOWN_JOB, "no job " + id + " in " + queue.name());
+        throw unknown(queue, id, listing.revision());
     }
 
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -66,6 +66,8 @@
     RUN_ENDED(516, Level.INFO, "A worker listed the end of a run; the text says how it ended."),
     ADVICE_MISSING(517, Level.WARN, "The advice service gave no answer for a step."),
     PROGRESS_DELAYED(518, Level.WARN, "Progress could not be written at once; ends stay open until it is."),
+    TASK_MOVED(519, Level.INFO, "A run is stopped so that it goes on elsewhere; the text says why."),
+    TASK_PACED(520, Level.INFO, "A task that fills was told to work at another share of its speed."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read anew."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write whose answer was lost was settled by reading."),
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -9,10 +9,11 @@
 /**
  * How far a job has come, as it lies in the store; written by the cell's owner alone.
  *
+ * @param queue the name of the job's queue
  * @param state the state shown to callers
  * @param rounds the progress of each repetition that has begun; null once the state is final
  */
-public record JobProgress(JobState state, List<RoundProgress> rounds)
+public record JobProgress(String queue, JobState state, List<RoundProgress> rounds)
 {
     /**
      * One repetition of the steps.
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobRecord.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobRecord.java
@@ -10,7 +10,9 @@
  * @param id the job's id, chosen by the caller
  * @param queue the queue as it was defined when the job was accepted
  * @param job what is to be run
+ * @param acceptedMillis when it was accepted, on the accepting box's clock in milliseconds since
+ *            1970
  */
-public record JobRecord(String id, QueueSpec queue, JobSpec job)
+public record JobRecord(String id, QueueSpec queue, JobSpec job, long acceptedMillis)
 {
 }
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Evacuation.java
@@ -0,0 +1,71 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import org.gaugehollow.worker.WorkerEntry;
+
+/**
+ * Takes tasks off workers that are about to leave: long-running ones at once, a few of each step at
+ * a time, and others if they cannot end in the time that is left.
+ */
+final class Evacuation
+{
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int WHOLE = 100;
+
+    private final Ledger ledger;
+
+    Evacuation(Ledger ledger)
+    {
+        this.ledger = ledger;
+    }
+
+    /** Stops what has to move now. */
+    Effects evacuate(long nowNanos)
+    {
+        Effects effects = new Effects();
+        for (WorkerSlot slot : ledger.workers())
+        {
+            WorkerEntry entry = slot.entry();
+            if (entry != null && entry.draining())
+            {
+                slot.tasks().stream().filter(task -> mustMove(task, slot, nowNanos)).forEach(effects::stop);
+            }
+        }
+        return effects;
+    }
+
+    private static boolean mustMove(Task task, WorkerSlot slot, long nowNanos)
+    {
+        if (task.phase() != Task.Phase.RUNNING || task.step().spec().gang())
+        {
+            return false;
+        }
+        if (task.step().spec().longRunning())
+        {
+            return task.step().countAway() < Math.max(1, task.step().spec().mayMiss());
+        }
+        long remaining = slot.entry().remainingMillis();
+        if (remaining < 0)
+        {
+            return false;
+        }
+        long left = remaining - (nowNanos - slot.listedNanos()) / NANOS_PER_MILLI;
+        return millisToEnd(task, nowNanos) > left;
+    }
+
+    /**
+     * How long the task still runs if it goes on as it did; the estimate where it has not moved yet.
+     */
+    private static long millisToEnd(Task task, long nowNanos)
+    {
+        long ran = (nowNanos - task.startedNanos()) / NANOS_PER_MILLI;
+        if (task.percent() <= 0)
+        {
+            return Math.max(0, task.step().spec().estimateMillis() - ran);
+        }
+        return ran * (WHOLE - task.percent()) / task.percent();
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -13,11 +13,17 @@
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
 
 /** One accepted job in the owner's memory. Guarded by the ledger's lock. */
 final class Job
 {
+    /** A job that takes more than this many times its objective is of no worth any more. */
+    private static final int LATE_FACTOR = 3;
+    private static final double ESTIMATE_ROOM = 1.5;
+
     private final JobRecord record;
+    private final long chainMillis;
     private final long acceptedRevision;
     private final TreeMap<Integer, List<Step>> rounds = new TreeMap<>();
     private JobState state = JobState.QUEUED;
@@ -28,6 +34,7 @@
         this.record = record;
         this.acceptedRevision = acceptedRevision;
         this.queue = record.queue();
+        this.chainMillis = chainMillis(record.job().steps());
     }
 
     /** The steps of a repetition, made when they are first asked for. */
@@ -72,6 +79,36 @@
                 : record.job().startAtMillis() + round * record.job().intervalMillis();
     }
 
+    /**
+     * Whether the job is so late that nothing is gained by hurrying it any more. Jobs with due times
+     * and long-running ones never are.
+     */
+    boolean isTooLate(long wallMillis)
+    {
+        boolean open = record.job().repeatCount() > 0
+                || record.job().steps().stream().anyMatch(StepSpec::longRunning);
+        long objective = queue.targetMillis() + (long) (queue.stretch() * chainMillis);
+        return !open && wallMillis - record.acceptedMillis() > LATE_FACTOR * objective;
+    }
+
+    /** The longest chain of steps by their estimates, with some room for estimates that are too low. */
+    private static long chainMillis(List<StepSpec> steps)
+    {
+        long[] ends = new long[steps.size()];
+        long longest = 0;
+        for (int i = 0; i < ends.length; i++)
+        {
+            long begin = 0;
+            for (int earlier : steps.get(i).dependsOn())
+            {
+                begin = Math.max(begin, ends[earlier]);
+            }
+            ends[i] = begin + (long) (steps.get(i).estimateMillis() * ESTIMATE_ROOM);
+            longest = Math.max(longest, ends[i]);
+        }
+        return longest;
+    }
+
     /** Whether all tasks of the steps that a step waits for have ended well. */
     boolean isReady(Step step)
     {
@@ -89,12 +126,12 @@
     {
         if (state.isFinal())
         {
-            return new JobProgress(state, null);
+            return new JobProgress(record.queue().name(), state, null);
         }
         List<RoundProgress> all = new ArrayList<>();
         rounds.values()
                 .forEach(steps -> all.add(new RoundProgress(steps.stream().map(Step::progress).toList())));
-        return new JobProgress(state, all);
+        return new JobProgress(record.queue().name(), state, all);
     }
 
     List<Step> steps()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -31,6 +31,9 @@
 {
     private static final int MOST_JOBS = 28;
     private static final int RETRY_MILLIS = 60;
+    /** The shortest time from one write to the next. */
+    private static final int PERIOD_MILLIS = 25;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Jobs that were marked together. */
     private static final class Batch
@@ -112,8 +115,20 @@
         while (true)
         {
             Map<Job, List<Batch>> group = take();
+            long begunNanos = System.nanoTime();
             writeUntilDone(group);
             group.forEach(this::written);
+            pauseAfter(begunNanos);
+        }
+    }
+
+    /** Lets changes gather for a moment, so that one write carries many. */
+    private static void pauseAfter(long begunNanos) throws InterruptedException
+    {
+        long sinceMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
+        if (sinceMillis < PERIOD_MILLIS)
+        {
+            Thread.sleep(PERIOD_MILLIS - sinceMillis);
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -170,7 +170,7 @@
     WorkerSlot list(WorkerEntry entry)
     {
         WorkerSlot slot = slot(entry.id());
-        slot.setEntry(entry);
+        slot.setEntry(entry, nanoTime.getAsLong());
         return slot;
     }
 
@@ -228,7 +228,7 @@
         Effects effects = new Effects();
         long now = nanoTime.getAsLong();
         slot.readClock(answer.clockMillis(), now);
-        slot.setHeld(true);
+        slot.looked(now);
         for (EndedRun end : answer.ended())
         {
             if (end.number() > lastSeen)
@@ -363,8 +363,11 @@
         return job == null ? null : job.find(name);
     }
 
-    /** The jobs that are not over, the most urgent queue first and within it the earliest first. */
-    List<Job> byUrgency()
+    /**
+     * The jobs that are not over: those that are not too late first, among them the most urgent queue
+     * first, and within it the earliest first.
+     */
+    List<Job> byUrgency(long wallMillis)
     {
         List<Job> sorted = new ArrayList<>();
         for (Job job : jobs.values())
@@ -374,8 +377,8 @@
                 sorted.add(job);
             }
         }
-        sorted.sort(Comparator.comparingInt((Job job) -> job.queue().priority())
-                .thenComparingLong(Job::acceptedRevision));
+        sorted.sort(Comparator.comparing((Job job) -> job.isTooLate(wallMillis))
+                .thenComparingInt(job -> job.queue().priority()).thenComparingLong(Job::acceptedRevision));
         return sorted;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -50,6 +50,8 @@
     private final Journal journal;
     private final AdviceDesk desk;
     private final Planner planner;
+    private final Evacuation evacuation;
+    private final StallGuard stallGuard;
     private final Map<String, WorkerSession> sessions = new ConcurrentHashMap<>();
     private final Semaphore wakeUps = new Semaphore(0);
     private Map<String, JobProgress> recorded = Map.of();
@@ -66,6 +68,8 @@
         this.journal = new Journal(platform.store(), ledger, lease, events);
         this.desk = new AdviceDesk(ledger, lines, this::wake);
         this.planner = new Planner(ledger, desk, score);
+        this.evacuation = new Evacuation(ledger);
+        this.stallGuard = new StallGuard(ledger);
     }
 
     /** Reads what earlier owners recorded and begins to work. */
@@ -126,8 +130,12 @@
     private void planOnce()
     {
         Planner.Plan plan;
+        Effects moves;
+        Effects stalls;
         synchronized (ledger)
         {
+            moves = evacuation.evacuate(System.nanoTime());
+            stalls = stallGuard.check(System.nanoTime());
             CellConfig newest = config.get();
             if (newest.version() > ledger.config().version())
             {
@@ -137,11 +145,24 @@
             plan = planner.plan(System.nanoTime(), System.currentTimeMillis());
             plan.needAdvice().forEach(desk::request);
         }
+        logMoves(moves, "its worker leaves");
+        logMoves(stalls, "it stands still");
+        apply(moves);
+        apply(stalls);
         Set<Job> begun = new LinkedHashSet<>();
         plan.starts().forEach(start -> begun.add(start.task().step().job()));
         journal.mark(begun, () -> plan.starts().forEach(this::send));
     }
 
+    private void logMoves(Effects effects, String why)
+    {
+        for (Effects.Stop stop : effects.stops())
+        {
+            events.record(EventType.TASK_MOVED, stop.taskName(),
+                    "run " + stop.run() + " on " + stop.slot().id() + ": " + why);
+        }
+    }
+
     private void releaseLapsed()
     {
         for (WorkerSlot slot : ledger.lapsed())
@@ -161,16 +182,24 @@
         if (session != null)
         {
             inBackground(start.task().name(), () -> session.start(start));
+            return;
+        }
+        synchronized (ledger)
+        {
+            if (start.task().isAt(start.slot(), start.run()))
+            {
+                start.task().release();
+            }
         }
     }
 
     /** A step of work that may be interrupted. */
-    private interface Interruptible
+    interface Interruptible
     {
         void run() throws InterruptedException;
     }
 
-    private static void inBackground(String name, Interruptible work)
+    static void inBackground(String name, Interruptible work)
     {
         Thread.ofVirtual().name(name).start(() ->
         {
@@ -222,7 +251,7 @@
         Effects effects;
         synchronized (ledger)
         {
-            slot.setEntry(null);
+            slot.unlisted();
             effects = ledger.lost(slot);
         }
         journal.mark(effects.changed());
@@ -380,7 +409,7 @@
             String id = platform.workerId(key);
             synchronized (ledger)
             {
-                ledger.worker(id).ifPresent(slot -> slot.setEntry(null));
+                ledger.worker(id).ifPresent(WorkerSlot::unlisted);
             }
         }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -79,7 +79,7 @@
     {
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
         askable = freeInAll();
-        for (Job job : ledger.byUrgency())
+        for (Job job : ledger.byUrgency(wallMillis))
         {
             job.beginDueRounds(wallMillis);
             for (Step step : job.steps())
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -13,6 +13,8 @@
 /** One step of one repetition of a job in the owner's memory. Guarded by the ledger's lock. */
 final class Step
 {
+    private static final int WHOLE = 100;
+
     private final Job job;
     private final int round;
     private final int number;
@@ -92,6 +94,25 @@
         return tasks.stream().filter(task -> task.worker() == slot).count();
     }
 
+    /** How many tasks of a long-running step are not at work. */
+    long countAway()
+    {
+        return tasks.stream().filter(task -> task.phase() != Task.Phase.RUNNING || task.percent() < WHOLE)
+                .count();
+    }
+
+    /** Stops every member that may be running. */
+    void stopAll(Effects effects)
+    {
+        for (Task task : tasks)
+        {
+            if (task.occupies() && task.phase() != Task.Phase.STOPPING)
+            {
+                effects.stop(task);
+            }
+        }
+    }
+
     StepProgress progress()
     {
         return new StepProgress(tasks.stream().map(Task::progress).toList());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -27,6 +27,8 @@
     /** An order that is not settled yet. */
     static final long UNSETTLED = Long.MAX_VALUE;
 
+    private static final int FULL_PACE = 100;
+
     private final Step step;
     private final int index;
     private Phase phase = Phase.WAITING;
@@ -38,7 +40,8 @@
     private long startedNanos;
     private int percent;
     private long movedNanos;
-    private int pace = 100;
+    private int pace = FULL_PACE;
+    private long pacedNanos;
     private double gauge;
     private String failedOn;
 
@@ -81,7 +84,8 @@
         startedNanos = nowNanos;
         movedNanos = nowNanos;
         percent = 0;
-        pace = 100;
+        pace = FULL_PACE;
+        pacedNanos = nowNanos;
         gauge = 0;
         target.take(this);
     }
@@ -173,9 +177,15 @@
         }
     }
 
-    void setPace(int newPace)
+    void setPace(int newPace, long nowNanos)
     {
         pace = newPace;
+        pacedNanos = nowNanos;
+    }
+
+    long pacedNanos()
+    {
+        return pacedNanos;
     }
 
     /** Whether it takes room on its worker. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,6 +34,7 @@
 
     private static final int BUSY_WAIT_MILLIS = 1_000;
     private static final int IDLE_WAIT_MILLIS = 2_000;
+    private static final int SHARED_WAIT_MILLIS = 500;
     private static final int HOLD_SLACK_MILLIS = 400;
     private static final int ORDER_MILLIS = 350;
     private static final int RETRY_MILLIS = 150;
@@ -42,7 +45,7 @@
     private final OwnerTerm term;
     private final WorkerSlot slot;
     private final WorkerPort port;
-    private final Set<String> unknownStops = ConcurrentHashMap.newKeySet();
+    private final Set<String> activeStops = ConcurrentHashMap.newKeySet();
     private CompletableFuture<Void> recording = CompletableFuture.completedFuture(null);
     private long lastSeen;
     private long recordingUpTo;
@@ -109,7 +112,8 @@
         synchronized (term.ledger())
         {
             long deadline = slot.deadlineIn(LEASE_MILLIS, System.nanoTime());
-            int wait = slot.isIdle() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
+            int busyWait = PaceKeeper.isShared(slot) ? SHARED_WAIT_MILLIS : BUSY_WAIT_MILLIS;
+            int wait = slot.isIdle() ? IDLE_WAIT_MILLIS : busyWait;
             boolean first = !slot.held();
             return new HoldOrder(term.lease().fence(), lastSeen, deadline, blocked || first ? 0 : wait);
         }
@@ -129,12 +133,59 @@
             effects = term.ledger().look(slot, answer, lastSeen, sentNanos);
         }
         term.logEnds(slot, answer, lastSeen);
+        adjustPaces();
+        sendOpenStops();
         CompletableFuture<Void> written = new CompletableFuture<>();
         term.apply(effects, () -> written.complete(null));
         recording = CompletableFuture.allOf(recording, written);
         recordingUpTo = newest;
     }
 
+    /** Stops that no one is sending, such as those decided before this session began, are sent now. */
+    private void sendOpenStops()
+    {
+        List<Effects.Stop> open = new ArrayList<>();
+        synchronized (term.ledger())
+        {
+            for (Task task : slot.tasks())
+            {
+                if (task.phase() == Task.Phase.STOPPING && !activeStops.contains(task.name()))
+                {
+                    open.add(new Effects.Stop(slot, task.name(), task.run(), task));
+                }
+            }
+        }
+        open.forEach(stop -> OwnerTerm.inBackground(stop.taskName(), () -> stop(stop)));
+    }
+
+    private void adjustPaces()
+    {
+        List<PaceKeeper.Change> changes;
+        synchronized (term.ledger())
+        {
+            changes = PaceKeeper.adjust(slot, System.nanoTime());
+        }
+        for (PaceKeeper.Change change : changes)
+        {
+            term.events().record(EventType.TASK_PACED, change.task().name(),
+                    "run " + change.run() + " on " + slot.id() + " to " + change.percent() + " %");
+            OwnerTerm.inBackground("pace-" + change.task().name(), () -> pace(change));
+        }
+    }
+
+    private void pace(PaceKeeper.Change change) throws InterruptedException
+    {
+        for (int i = 0; i < START_TRIES; i++)
+        {
+            OrderAnswer answer = port.pace(change.task().name(), change.run(), change.percent(),
+                    term.lease().fence(), ORDER_MILLIS);
+            if (answer.result() != OrderResult.UNKNOWN && answer.result() != OrderResult.UNHEALTHY)
+            {
+                return;
+            }
+        }
+    }
+
     /** Waits until the ends are written; true if they still are not. */
     private boolean awaitRecords() throws InterruptedException
     {
@@ -232,6 +283,7 @@
             stopInstead(start);
             return;
         }
+        Effects effects = new Effects();
         synchronized (term.ledger())
         {
             long now = System.nanoTime();
@@ -246,14 +298,19 @@
                 task.settle(now);
                 return;
             }
-            refused(task, result, now);
+            refused(task, result, now, effects);
         }
+        term.apply(effects);
         term.wake();
     }
 
-    private void refused(Task task, OrderResult result, long now)
+    private void refused(Task task, OrderResult result, long now, Effects effects)
     {
         task.release();
+        if (task.step().spec().gang())
+        {
+            task.step().stopAll(effects);
+        }
         if (result == OrderResult.BAD_TICKET)
         {
             term.desk().drop(task.step(), slot);
@@ -286,11 +343,29 @@
     /** Sends a stop until the worker has taken it or the run is known to be over. */
     void stop(Effects.Stop stop) throws InterruptedException
     {
-        if (stop.task() == null)
+        if (!activeStops.add(stop.taskName()))
         {
-            stopUnknown(stop);
             return;
         }
+        try
+        {
+            if (stop.task() == null)
+            {
+                stopUnknown(stop);
+            }
+            else
+            {
+                stopKnown(stop);
+            }
+        }
+        finally
+        {
+            activeStops.remove(stop.taskName());
+        }
+    }
+
+    private void stopKnown(Effects.Stop stop) throws InterruptedException
+    {
         while (isWanted(stop) && term.lease().mayOrder())
         {
             OrderAnswer answer = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS);
@@ -332,21 +407,10 @@
 
     private void stopUnknown(Effects.Stop stop) throws InterruptedException
     {
-        if (!unknownStops.add(stop.taskName()))
-        {
-            return;
-        }
-        try
-        {
-            OrderResult result = OrderResult.UNKNOWN;
-            for (int i = 0; i < STOP_TRIES_UNKNOWN && result == OrderResult.UNKNOWN; i++)
-            {
-                result = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS).result();
-            }
-        }
-        finally
+        OrderResult result = OrderResult.UNKNOWN;
+        for (int i = 0; i < STOP_TRIES_UNKNOWN && result == OrderResult.UNKNOWN; i++)
         {
-            unknownStops.remove(stop.taskName());
+            result = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS).result();
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -25,6 +25,8 @@
     private Amounts used = Amounts.NONE;
     private boolean held;
     private boolean foreignRuns;
+    private long listedNanos;
+    private long lookedNanos;
     private long clockMillis;
     private long clockReadNanos;
     private long deadlineMillis;
@@ -103,9 +105,35 @@
         return leaseEndNanos;
     }
 
-    void setEntry(WorkerEntry newest)
+    void setEntry(WorkerEntry newest, long nowNanos)
     {
         entry = newest;
+        listedNanos = nowNanos;
+    }
+
+    /** The platform no longer lists it. */
+    void unlisted()
+    {
+        entry = null;
+    }
+
+    /** When the newest entry came. */
+    long listedNanos()
+    {
+        return listedNanos;
+    }
+
+    /** A look at it was answered. */
+    void looked(long nowNanos)
+    {
+        held = true;
+        lookedNanos = nowNanos;
+    }
+
+    /** When it last answered a look. */
+    long lookedNanos()
+    {
+        return lookedNanos;
     }
 
     void setHeld(boolean value)
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -114,8 +114,9 @@
         box.cancel(QUEUE, ID, in(1_000));
         assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
         store.commit(new StoreTransaction().put(JobKeys.progress(ID),
-                Json.write(new JobProgress(JobState.COMPLETED, null))));
+                Json.write(new JobProgress(QUEUE.name(), JobState.COMPLETED, null))));
         assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.COMPLETED);
+        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -49,7 +49,7 @@
 
     static JobRecord job(String id, StepSpec... steps)
     {
-        return new JobRecord(id, QUEUE, new JobSpec("text", List.of(steps), 0, 0, 0));
+        return new JobRecord(id, QUEUE, new JobSpec("text", List.of(steps), 0, 0, 0), 0);
     }
 
     static WorkerEntry worker(String id, int cpu)
