--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -5,14 +5,18 @@
 package org.gaugehollow.platform;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
 
-/** A store in memory whose answers or writes get lost on demand. */
+/** A store in memory, with leases and watches, whose answers or writes get lost on demand. */
 public final class FakeStore implements PlatformStore
 {
     /** Something that happens directly after a commit. */
@@ -22,6 +26,10 @@
     }
 
     private final TreeMap<String, StoredValue> keys = new TreeMap<>();
+    private final Map<String, Long> leases = new HashMap<>();
+    private final Set<Long> endedLeases = new HashSet<>();
+    private final List<StoreChange> history = new ArrayList<>();
+    private long lastLease;
     private long revision = 1;
     private int answersToLose;
     private int writesToLose;
@@ -66,14 +74,14 @@
     }
 
     @Override
-    public Optional<StoredValue> get(String key)
+    public synchronized Optional<StoredValue> get(String key)
     {
         checkUp();
         return Optional.ofNullable(keys.get(key));
     }
 
     @Override
-    public StoreListing list(String prefix)
+    public synchronized StoreListing list(String prefix)
     {
         checkUp();
         return new StoreListing(revision,
@@ -81,7 +89,7 @@
     }
 
     @Override
-    public Optional<Long> commit(StoreTransaction transaction) throws InterruptedException
+    public synchronized Optional<Long> commit(StoreTransaction transaction) throws InterruptedException
     {
         checkUp();
         if (writesToLose > 0)
@@ -109,15 +117,19 @@
         commits++;
         for (StoreTransaction.Write write : writes)
         {
-            if (write.value() == null)
+            boolean gone = write.value() == null;
+            history.add(new StoreChange(write.key(), write.value(), revision, gone));
+            if (gone)
             {
                 keys.remove(write.key());
             }
             else
             {
                 keys.put(write.key(), new StoredValue(write.key(), write.value(), revision));
+                leases.put(write.key(), write.lease());
             }
         }
+        notifyAll();
         if (afterCommit != null)
         {
             Interruption once = afterCommit;
@@ -130,27 +142,82 @@
     }
 
     @Override
-    public long grantLease(int seconds)
+    public synchronized long grantLease(int seconds)
     {
-        throw new UnsupportedOperationException("no leases here");
+        checkUp();
+        lastLease++;
+        return lastLease;
     }
 
     @Override
-    public boolean renewLease(long lease)
+    public synchronized boolean renewLease(long lease)
     {
-        throw new UnsupportedOperationException("no leases here");
+        checkUp();
+        return !endedLeases.contains(lease);
     }
 
     @Override
-    public void revokeLease(long lease)
+    public synchronized void revokeLease(long lease) throws InterruptedException
     {
-        throw new UnsupportedOperationException("no leases here");
+        checkUp();
+        endedLeases.add(lease);
+        List<StoreTransaction.Write> removals = new ArrayList<>();
+        for (String key : keys.keySet())
+        {
+            if (leases.getOrDefault(key, 0L) == lease)
+            {
+                removals.add(new StoreTransaction.Write(key, null, 0));
+            }
+        }
+        apply(removals);
     }
 
     @Override
     public StoreWatch watch(String prefix, long fromRevision)
     {
-        throw new UnsupportedOperationException("no watches here");
+        checkUp();
+        return new FakeWatch(prefix, fromRevision);
+    }
+
+    /** Reports the changes of the history, in order. */
+    private final class FakeWatch implements StoreWatch
+    {
+        private final String prefix;
+        private long next;
+
+        FakeWatch(String prefix, long fromRevision)
+        {
+            this.prefix = prefix;
+            this.next = fromRevision;
+        }
+
+        @Override
+        public List<StoreChange> poll(int timeoutMillis) throws InterruptedException
+        {
+            synchronized (FakeStore.this)
+            {
+                checkUp();
+                List<StoreChange> found = changes();
+                if (found.isEmpty())
+                {
+                    FakeStore.this.wait(timeoutMillis);
+                    found = changes();
+                }
+                next = revision + 1;
+                return found;
+            }
+        }
+
+        private List<StoreChange> changes()
+        {
+            return history.stream().filter(c -> c.revision() >= next && c.key().startsWith(prefix)).toList();
+        }
+
+        @Override
+        public void close()
+        {
+            next = Long.MAX_VALUE;
+        }
     }
 
     @Override
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -0,0 +1,95 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.worker.Advice;
+import org.gaugehollow.worker.AdvicePort;
+import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerPort;
+
+/** A platform in memory. */
+final class FakePlatform implements CellPlatform
+{
+    private static final String WORKERS = "workers/";
+
+    private final FakeStore store = new FakeStore();
+    private final Map<String, FakeWorker> workers = new HashMap<>();
+
+    /** Lists a worker; its state must have been set before. */
+    FakeWorker addWorker(String id) throws InterruptedException
+    {
+        FakeWorker worker = new FakeWorker();
+        workers.put(id, worker);
+        list(id);
+        return worker;
+    }
+
+    private void list(String id) throws InterruptedException
+    {
+        store.commit(new StoreTransaction().put(WORKERS + id, new byte[]{1}));
+    }
+
+    FakeStore fakeStore()
+    {
+        return store;
+    }
+
+    @Override
+    public PlatformStore store()
+    {
+        return store;
+    }
+
+    @Override
+    public String configKey()
+    {
+        return "config";
+    }
+
+    @Override
+    public CellConfig readConfig(byte[] value)
+    {
+        return CellConfig.NONE;
+    }
+
+    @Override
+    public String workerPrefix()
+    {
+        return WORKERS;
+    }
+
+    @Override
+    public Optional<WorkerEntry> readWorker(String key, byte[] value)
+    {
+        return Optional.of(TestJobs.worker(workerId(key), 16_000));
+    }
+
+    @Override
+    public String workerId(String key)
+    {
+        return key.substring(WORKERS.length());
+    }
+
+    @Override
+    public WorkerPort openWorker(WorkerEntry worker)
+    {
+        return workers.get(worker.id());
+    }
+
+    @Override
+    public AdvicePort advice()
+    {
+        return (step, ids, timeout) -> new Advice(List.of(), 0);
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -0,0 +1,188 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gaugehollow.worker.HoldAnswer;
+import org.gaugehollow.worker.HoldAnswer.EndedRun;
+import org.gaugehollow.worker.HoldAnswer.RunningRun;
+import org.gaugehollow.worker.HoldOrder;
+import org.gaugehollow.worker.OrderAnswer;
+import org.gaugehollow.worker.OrderResult;
+import org.gaugehollow.worker.RunEnd;
+import org.gaugehollow.worker.StartOrder;
+import org.gaugehollow.worker.WorkerPort;
+
+/**
+ * A worker in memory that keeps the rules of fences, runs and ends, and loses answers on demand.
+ */
+final class FakeWorker implements WorkerPort
+{
+    private final Map<String, Integer> running = new HashMap<>();
+    private final Map<String, Integer> highestOver = new HashMap<>();
+    private final List<EndedRun> ends = new ArrayList<>();
+    private final List<String> begun = new ArrayList<>();
+    private final List<String> stopped = new ArrayList<>();
+    private long fence;
+    private long lastEnd;
+    private int startsToLose;
+    private StartOrder lostStart;
+    private boolean otherLife;
+    private boolean silent;
+
+    /** The next starts are not carried out and not answered; the last of them can arrive late. */
+    synchronized void loseStarts(int count)
+    {
+        startsToLose = count;
+    }
+
+    /** The lost start arrives now; returns what becomes of it. */
+    synchronized OrderResult arriveLate()
+    {
+        return carryOut(lostStart);
+    }
+
+    /** Another life answers from now on. */
+    synchronized void endLife()
+    {
+        otherLife = true;
+        running.clear();
+    }
+
+    /** Answers nothing from now on and runs on. */
+    synchronized void setSilent(boolean value)
+    {
+        silent = value;
+    }
+
+    /** A run as an earlier owner left it. */
+    synchronized void runs(String task, int run)
+    {
+        running.put(task, run);
+    }
+
+    synchronized void end(String task, RunEnd how)
+    {
+        int run = running.remove(task);
+        highestOver.merge(task, run, Math::max);
+        lastEnd++;
+        ends.add(new EndedRun(lastEnd, task, run, how, ""));
+        notifyAll();
+    }
+
+    /** Tasks and runs that began here, in order. */
+    synchronized List<String> begun()
+    {
+        return List.copyOf(begun);
+    }
+
+    synchronized List<String> stopped()
+    {
+        return List.copyOf(stopped);
+    }
+
+    synchronized int unnoted()
+    {
+        return ends.size();
+    }
+
+    private OrderResult check(long token)
+    {
+        if (silent)
+        {
+            return OrderResult.UNKNOWN;
+        }
+        if (otherLife)
+        {
+            return OrderResult.OTHER_LIFE;
+        }
+        if (token < fence)
+        {
+            return OrderResult.FENCED;
+        }
+        fence = token;
+        return OrderResult.DONE;
+    }
+
+    private OrderResult carryOut(StartOrder order)
+    {
+        OrderResult checked = check(order.fence());
+        if (checked != OrderResult.DONE)
+        {
+            return checked;
+        }
+        if (highestOver.getOrDefault(order.task(), 0) >= order.run())
+        {
+            return OrderResult.OLD_RUN;
+        }
+        if (running.put(order.task(), order.run()) == null)
+        {
+            begun.add(order.task() + '/' + order.run());
+        }
+        return OrderResult.DONE;
+    }
+
+    @Override
+    public synchronized OrderAnswer start(StartOrder order, int timeoutMillis)
+    {
+        if (startsToLose > 0)
+        {
+            startsToLose--;
+            lostStart = order;
+            return new OrderAnswer(OrderResult.UNKNOWN, 0);
+        }
+        return new OrderAnswer(carryOut(order), 1_000);
+    }
+
+    @Override
+    public synchronized OrderAnswer stop(String task, int run, long token, int timeoutMillis)
+    {
+        OrderResult checked = check(token);
+        if (checked == OrderResult.DONE)
+        {
+            stopped.add(task);
+            highestOver.merge(task, run, Math::max);
+            if (running.getOrDefault(task, 0) == run)
+            {
+                end(task, RunEnd.STOPPED);
+            }
+        }
+        return new OrderAnswer(checked, 1_000);
+    }
+
+    @Override
+    public synchronized OrderAnswer pace(String task, int run, int percent, long token, int timeoutMillis)
+    {
+        return new OrderAnswer(check(token), 1_000);
+    }
+
+    @Override
+    public synchronized HoldAnswer hold(HoldOrder order, int timeoutMillis) throws InterruptedException
+    {
+        OrderResult checked = check(order.fence());
+        if (checked != OrderResult.DONE)
+        {
+            return HoldAnswer.refused(checked);
+        }
+        ends.removeIf(end -> end.number() <= order.lastSeen());
+        if (ends.isEmpty() && order.waitMillis() > 0)
+        {
+            wait(order.waitMillis());
+        }
+        List<RunningRun> rows = new ArrayList<>();
+        running.forEach((task, run) -> rows.add(new RunningRun(task, run, "", 1, 0)));
+        return new HoldAnswer(OrderResult.DONE, 1_000, rows, List.copyOf(ends));
+    }
+
+    @Override
+    public void close()
+    {
+        // nothing is open
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -0,0 +1,216 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobProgress.RoundProgress;
+import org.gaugehollow.job.JobProgress.StepProgress;
+import org.gaugehollow.job.JobProgress.TaskProgress;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.supervise.Supervisor;
+import org.gaugehollow.worker.OrderResult;
+import org.gaugehollow.worker.RunEnd;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Terms of owners against a store and workers in memory: what is taken over, settled and written.
+ */
+class OwnerTermTest
+{
+    private static final String TASK = TestJobs.ID + ".0.0.0";
+    private static final StepSpec ONE = TestJobs.step(1, 1_000, List.of());
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakePlatform platform = new FakePlatform();
+    private final Supervisor supervisor = new Supervisor("test", events);
+    private OwnerTerm term;
+
+    @AfterEach
+    void stop()
+    {
+        if (term != null)
+        {
+            term.close();
+        }
+        supervisor.close();
+    }
+
+    private OwnerLease beginTerm() throws InterruptedException
+    {
+        byte[] mark = "term".getBytes(StandardCharsets.UTF_8);
+        long revision = platform.store()
+                .commit(new StoreTransaction().put(JobKeys.OWNER, mark).put(JobKeys.JOURNAL, mark))
+                .orElseThrow();
+        OwnerLease lease = new OwnerLease("box", revision, 1);
+        AdviceLines lines = new AdviceLines(platform.advice(), events);
+        term = new OwnerTerm(platform, lease, events, supervisor.child("term"), () -> CellConfig.NONE, lines,
+                new WaitingFirstScore(0.5));
+        term.begin();
+        return lease;
+    }
+
+    private void accept(StepSpec... steps) throws InterruptedException
+    {
+        platform.store().commit(new StoreTransaction().put(JobKeys.job(TestJobs.ID),
+                JobCodec.writeRecord(TestJobs.job(TestJobs.ID, steps))));
+    }
+
+    private void recordRunningOn(String worker, int run) throws InterruptedException
+    {
+        TaskProgress task = new TaskProgress(run, 0, false, worker, null);
+        JobProgress progress = new JobProgress(TestJobs.QUEUE.name(), JobState.RUNNING,
+                List.of(new RoundProgress(List.of(new StepProgress(List.of(task))))));
+        platform.store().commit(
+                new StoreTransaction().put(JobKeys.progress(TestJobs.ID), JobCodec.writeProgress(progress)));
+    }
+
+    private void cancel() throws InterruptedException
+    {
+        platform.store().commit(new StoreTransaction().put(JobKeys.cancel(TestJobs.ID), new byte[]{'1'}));
+    }
+
+    private JobState state()
+    {
+        return platform.fakeStore().get(JobKeys.progress(TestJobs.ID)).map(StoredValue::value)
+                .map(JobCodec::readProgress).map(JobProgress::state).orElse(JobState.QUEUED);
+    }
+
+    private static boolean within(long millis, BooleanSupplier holds) throws InterruptedException
+    {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!holds.getAsBoolean())
+        {
+            if (System.nanoTime() > end)
+            {
+                return false;
+            }
+            Thread.sleep(10);
+        }
+        return true;
+    }
+
+    @Test
+    void anAcceptedJobRunsAndIsShownAsCompletedOnceItsEndIsWritten() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(within(3_000, () -> worker.begun().equals(List.of(TASK + "/1")))).isTrue();
+        worker.end(TASK, RunEnd.DONE);
+        assertThat(within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
+    }
+
+    @Test
+    void anEndThatNoEarlierOwnerWroteIsKnownToTheNextOne() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        accept(ONE);
+        recordRunningOn("w1", 1);
+        worker.runs(TASK, 1);
+        worker.end(TASK, RunEnd.DONE);
+        beginTerm();
+        assertThat(within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
+        assertThat(worker.begun()).isEmpty();
+    }
+
+    @Test
+    void aCancellationReadBeforeTheWorkersAreKnownStopsWhatRuns() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        accept(ONE);
+        recordRunningOn("w1", 1);
+        worker.runs(TASK, 1);
+        cancel();
+        beginTerm();
+        assertThat(within(4_000, () -> worker.stopped().contains(TASK))).isTrue();
+        assertThat(within(3_000, () -> state() == JobState.CANCELLED)).isTrue();
+    }
+
+    @Test
+    void whatAnEarlierOwnerRecordedAndNeverSentIsStartedAsTheNextRun() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        accept(ONE);
+        recordRunningOn("w1", 1);
+        beginTerm();
+        assertThat(within(3_000, () -> worker.begun().equals(List.of(TASK + "/2")))).isTrue();
+    }
+
+    @Test
+    void whatMayRunOnAWorkerThatIsNotListedIsNotStartedElsewhere() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w2");
+        accept(ONE);
+        recordRunningOn("w1", 1);
+        beginTerm();
+        assertThat(within(1_500, () -> !worker.begun().isEmpty())).isFalse();
+    }
+
+    @Test
+    void aStartThatArrivesAfterItsStopDoesNothing() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        worker.loseStarts(3);
+        beginTerm();
+        accept(ONE);
+        assertThat(within(6_000, () -> worker.begun().equals(List.of(TASK + "/2")))).isTrue();
+        assertThat(worker.arriveLate()).isEqualTo(OrderResult.OLD_RUN);
+        assertThat(worker.begun()).containsExactly(TASK + "/2");
+    }
+
+    @Test
+    void runsOfALifeThatIsOverStartAgainElsewhere() throws InterruptedException
+    {
+        FakeWorker first = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(within(3_000, () -> !first.begun().isEmpty())).isTrue();
+        FakeWorker second = platform.addWorker("w2");
+        first.endLife();
+        assertThat(within(4_000, () -> second.begun().equals(List.of(TASK + "/2")))).isTrue();
+    }
+
+    @Test
+    void whileTheStoreIsDownEndsStayOpenAndAreWrittenAfterwards() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(within(3_000, () -> !worker.begun().isEmpty())).isTrue();
+        platform.fakeStore().setDown(true);
+        worker.end(TASK, RunEnd.DONE);
+        assertThat(within(1_500, () -> worker.unnoted() == 0)).isFalse();
+        platform.fakeStore().setDown(false);
+        assertThat(within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
+        assertThat(within(3_000, () -> worker.unnoted() == 0)).isTrue();
+    }
+
+    @Test
+    void anOwnerThatAWorkerFencesStops() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        OwnerLease lease = beginTerm();
+        accept(ONE);
+        assertThat(within(3_000, () -> !worker.begun().isEmpty())).isTrue();
+        worker.stop("other", 1, Long.MAX_VALUE, 100);
+        assertThat(lease.awaitEnd(4_000)).isTrue();
+    }
+}
