--- a/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
@@ -4,9 +4,7 @@
  */
 package org.gaugehollow.platform;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -52,9 +50,8 @@
 
     private final PlatformStore store;
     private final String prefix;
-    private final Listener listener;
+    private final KeyListing listing;
     private final EventLog events;
-    private final Set<String> known = new HashSet<>();
     private long revision = NOT_LISTED;
     private boolean lost;
 
@@ -68,7 +65,7 @@
     {
         this.store = store;
         this.prefix = prefix;
-        this.listener = listener;
+        this.listing = new KeyListing(listener);
         this.events = events;
     }
 
@@ -108,21 +105,9 @@
 
     private void list() throws InterruptedException
     {
-        StoreListing listing = store.list(prefix);
-        Set<String> gone = new HashSet<>(known);
-        for (StoredValue value : listing.values())
-        {
-            gone.remove(value.key());
-            known.add(value.key());
-            listener.put(value.key(), value.value(), value.modRevision());
-        }
-        for (String key : gone)
-        {
-            known.remove(key);
-            listener.removed(key, listing.revision());
-        }
-        listener.listed(listing.revision());
-        revision = listing.revision();
+        StoreListing all = store.list(prefix);
+        listing.deliver(all);
+        revision = all.revision();
     }
 
     private void watch() throws InterruptedException
@@ -152,11 +137,9 @@
         revision = change.revision();
         if (change.deleted())
         {
-            known.remove(change.key());
-            listener.removed(change.key(), change.revision());
+            listing.remove(change.key(), change.revision());
             return;
         }
-        known.add(change.key());
-        listener.put(change.key(), change.value(), change.revision());
+        listing.put(change.key(), change.value(), change.revision());
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -19,6 +19,7 @@
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.PlatformStore;
 import org.gaugehollow.platform.StoreChange;
+import org.gaugehollow.platform.StoreListing;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoreWatch;
 import org.gaugehollow.platform.StoredValue;
@@ -75,10 +76,10 @@
         {
             try
             {
-                Optional<StoredValue> owner = platform.store().get(JobKeys.OWNER);
-                if (owner.isPresent())
+                StoreListing owner = platform.store().list(JobKeys.OWNER);
+                if (!owner.values().isEmpty())
                 {
-                    awaitGone(owner.get().modRevision());
+                    awaitGone(owner.revision());
                 }
                 else if (config.get().version() > 0)
                 {
@@ -100,12 +101,13 @@
     {
         try (StoreWatch watch = platform.store().watch(JobKeys.OWNER, revision + 1))
         {
-            List<StoreChange> changes = watch.poll(POLL_MILLIS);
-            if (!changes.isEmpty() && changes.getLast().deleted())
+            List<StoreChange> changes = List.of();
+            while (changes.isEmpty() && !resigned)
             {
-                Thread.sleep(ThreadLocalRandom.current().nextInt(MOST_JITTER_MILLIS));
+                changes = watch.poll(POLL_MILLIS);
             }
         }
+        Thread.sleep(ThreadLocalRandom.current().nextInt(MOST_JITTER_MILLIS));
     }
 
     private void tryToOwn() throws InterruptedException
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -21,6 +21,7 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.platform.KeyPoller;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.worker.HoldAnswer;
@@ -32,6 +33,11 @@
 {
     private static final long LONGEST_WAIT_MILLIS = 200;
     private static final long MILLIS_BETWEEN_PLANS = 3;
+    /**
+     * How often the list of workers is read; each worker writes there more often than once in two
+     * seconds.
+     */
+    private static final int WORKERS_MILLIS = 700;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long LOAD_RETRY_MILLIS = 60;
     /** How long after its lease a run may take to end. */
@@ -85,8 +91,8 @@
     /** Workers are looked at only once all jobs are known: an end of an unknown job would be lost. */
     private void followWorkers()
     {
-        supervisor.start("workers",
-                new KeyFollower(platform.store(), platform.workerPrefix(), new WorkerListener(), events));
+        supervisor.start("workers", new KeyPoller(platform.store(), platform.workerPrefix(), WORKERS_MILLIS,
+                new WorkerListener(), events));
     }
 
     private Map<String, JobProgress> readProgress() throws InterruptedException
@@ -406,10 +412,20 @@
         @Override
         public void removed(String key, long revision)
         {
-            String id = platform.workerId(key);
+            WorkerSlot slot;
+            boolean idle;
             synchronized (ledger)
             {
-                ledger.worker(id).ifPresent(WorkerSlot::unlisted);
+                slot = ledger.worker(platform.workerId(key)).orElse(null);
+                idle = slot != null && slot.isIdle();
+                if (slot != null)
+                {
+                    slot.unlisted();
+                }
+            }
+            if (idle)
+            {
+                sessionOver(slot);
             }
         }
 
