--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -22,7 +22,7 @@
 /** Registers this box in the store under a lease and knows the other boxes that are registered. */
 final class BoxRegistry implements SupervisedTask, KeyFollower.Listener
 {
-    private static final int LEASE_SECONDS = 3;
+    private static final int LEASE_MILLIS = 3_000;
     private static final int RENEW_MILLIS = 1_000;
     private static final int RETRY_MILLIS = 200;
 
@@ -54,7 +54,7 @@
         {
             try
             {
-                long lease = store.grantLease(LEASE_SECONDS);
+                long lease = store.grantLease(LEASE_MILLIS);
                 store.commit(new StoreTransaction().put(JobKeys.BOXES + box,
                         peerAddress.getBytes(StandardCharsets.UTF_8), lease));
                 noteReached(true);
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StoreSession.java
@@ -161,7 +161,7 @@
     private void register() throws InterruptedException
     {
         long sentAt = System.nanoTime();
-        lease = store.grantLease(leaseSeconds);
+        lease = store.grantLease(leaseSeconds * MILLIS);
         evidence.answered();
         try
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/EtcdStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/EtcdStore.java
@@ -30,6 +30,7 @@
 public final class EtcdStore implements PlatformStore
 {
     private static final int OK = 200;
+    private static final int MILLIS_PER_SECOND = 1_000;
 
     private final HttpCaller caller;
     private final StoreBudget budget;
@@ -102,8 +103,9 @@
     }
 
     @Override
-    public long grantLease(int seconds) throws InterruptedException
+    public long grantLease(int millis) throws InterruptedException
     {
+        int seconds = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
         JsonNode answer = call("lease", "/v3/lease/grant", object().put("TTL", Integer.toString(seconds)));
         long id = answer.path("ID").asLong();
         if (id == 0)
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/PlatformStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/PlatformStore.java
@@ -35,11 +35,11 @@
     Optional<Long> commit(StoreTransaction transaction) throws InterruptedException;
 
     /**
-     * @param seconds how long the lease lives without renewal
+     * @param millis how long the lease lives without renewal, in milliseconds; a store may round it up
      * @return its id
      * @throws InterruptedException if the process stops
      */
-    long grantLease(int seconds) throws InterruptedException;
+    long grantLease(int millis) throws InterruptedException;
 
     /**
      * @param lease a lease's id
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -32,8 +32,8 @@
  */
 public final class OwnerElection implements SupervisedTask
 {
-    private static final int LEASE_SECONDS = 2;
-    private static final int RENEW_MILLIS = 500;
+    private static final int LEASE_MILLIS = 1_500;
+    private static final int RENEW_MILLIS = 300;
     private static final int RETRY_MILLIS = 100;
     private static final int POLL_MILLIS = 2_000;
     private static final int MOST_JITTER_MILLIS = 30;
@@ -113,7 +113,7 @@
     private void tryToOwn() throws InterruptedException
     {
         PlatformStore store = platform.store();
-        long storeLease = store.grantLease(LEASE_SECONDS);
+        long storeLease = store.grantLease(LEASE_MILLIS);
         byte[] term = (box + '/' + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         Optional<Long> revision;
         try
@@ -163,24 +163,32 @@
         }
     }
 
+    /** Renewals do not wait for each other, so that one lost or slow answer does not cost the lease. */
     private void renewForever(OwnerLease lease) throws InterruptedException
     {
         while (!lease.isOver())
         {
-            try
+            OwnerTerm.inBackground("renew-" + lease.fence(), () -> renew(lease));
+            Thread.sleep(RENEW_MILLIS);
+        }
+    }
+
+    private void renew(OwnerLease lease) throws InterruptedException
+    {
+        try
+        {
+            if (platform.store().renewLease(lease.storeLease()))
             {
-                if (!platform.store().renewLease(lease.storeLease()))
-                {
-                    lease.end("the store no longer knows the lease");
-                    return;
-                }
                 lease.confirmed();
             }
-            catch (GaugehollowException e)
+            else
             {
-                events.record(EventType.LEASE_NOT_RENEWED, box, e.getMessage());
+                lease.end("the store no longer knows the lease");
             }
-            Thread.sleep(RENEW_MILLIS);
+        }
+        catch (GaugehollowException e)
+        {
+            events.record(EventType.LEASE_NOT_RENEWED, box, e.getMessage());
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
@@ -15,7 +15,7 @@
      * How long an owner goes on while the store does not answer it. Another owner counts on it when it
      * waits for runs on workers that it cannot reach.
      */
-    static final long LONGEST_SILENCE_NANOS = 9_000_000_000L;
+    static final long LONGEST_SILENCE_NANOS = 8_000_000_000L;
 
     private final String box;
     private final long ownerRevision;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -44,8 +44,7 @@
     private static final long END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
     /** How long runs of an earlier owner may live on a worker that this one cannot reach. */
     private static final long UNKNOWN_LEASE_NANOS = OwnerLease.LONGEST_SILENCE_NANOS
-            + (long) (WorkerSession.LEASE_MILLIS * 1.02) * NANOS_PER_MILLI - 2_000 * NANOS_PER_MILLI
-            + END_MARGIN_NANOS;
+            + (long) (WorkerSession.LEASE_MILLIS * 1.02) * NANOS_PER_MILLI + END_MARGIN_NANOS;
 
     private final CellPlatform platform;
     private final OwnerLease lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -217,7 +217,7 @@
         {
             synchronized (term.ledger())
             {
-                slot.health().refused(System.nanoTime());
+                slot.setHeld(false);
             }
         }
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -142,7 +142,7 @@
     }
 
     @Override
-    public synchronized long grantLease(int seconds)
+    public synchronized long grantLease(int millis)
     {
         checkUp();
         lastLease++;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -32,6 +32,7 @@
     private long fence;
     private long lastEnd;
     private int startsToLose;
+    private int startsAsked;
     private StartOrder lostStart;
     private boolean otherLife;
     private boolean silent;
@@ -87,6 +88,12 @@
         return List.copyOf(stopped);
     }
 
+    /** How many starts were sent here, whatever became of them. */
+    synchronized int startsAsked()
+    {
+        return startsAsked;
+    }
+
     synchronized int unnoted()
     {
         return ends.size();
@@ -131,6 +138,7 @@
     @Override
     public synchronized OrderAnswer start(StartOrder order, int timeoutMillis)
     {
+        startsAsked++;
         if (startsToLose > 0)
         {
             startsToLose--;
@@ -165,6 +173,11 @@
     @Override
     public synchronized HoldAnswer hold(HoldOrder order, int timeoutMillis) throws InterruptedException
     {
+        if (silent)
+        {
+            wait(timeoutMillis);
+            return HoldAnswer.refused(OrderResult.UNKNOWN);
+        }
         OrderResult checked = check(order.fence());
         if (checked != OrderResult.DONE)
         {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -203,6 +203,20 @@
         assertThat(within(3_000, () -> worker.unnoted() == 0)).isTrue();
     }
 
+    @Test
+    void nothingIsStartedOnAWorkerThatDoesNotAnswerLooks() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        beginTerm();
+        Thread.sleep(300);
+        worker.setSilent(true);
+        Thread.sleep(5_000);
+        accept(ONE);
+        assertThat(within(2_000, () -> worker.startsAsked() > 0)).isFalse();
+        worker.setSilent(false);
+        assertThat(within(5_000, () -> worker.begun().equals(List.of(TASK + "/1")))).isTrue();
+    }
+
     @Test
     void anOwnerThatAWorkerFencesStops() throws InterruptedException
     {
