Refuse at once while the store does not answer this box, and be ready only while it does

A store that is known to be silent is no longer asked; readiness follows the same knowledge instead of 3.5 s of silence.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -33,8 +33,6 @@
     private final AdviceLines lines;
     private final EventLog events;
     private final Map<String, String> addresses = new ConcurrentHashMap<>();
-    private volatile long contactNanos = System.nanoTime();
-    private volatile boolean reached;
 
     BoxRegistry(String box, String peerAddress, PlatformStore store, PeerDirectory directory,
             AdviceLines lines, EventLog events)
@@ -57,12 +55,10 @@
                 long lease = store.grantLease(LEASE_MILLIS);
                 store.commit(new StoreTransaction().put(JobKeys.BOXES + box,
                         peerAddress.getBytes(StandardCharsets.UTF_8), lease));
-                noteReached(true);
                 renew(lease);
             }
             catch (GaugehollowException e)
             {
-                noteReached(false);
                 Thread.sleep(RETRY_MILLIS);
             }
         }
@@ -72,31 +68,11 @@
     {
         while (store.renewLease(lease))
         {
-            noteReached(true);
             Thread.sleep(RENEW_MILLIS);
         }
         events.record(EventType.LEASE_LOST, box, "registration");
     }
 
-    private void noteReached(boolean now)
-    {
-        if (now)
-        {
-            contactNanos = System.nanoTime();
-        }
-        if (now != reached)
-        {
-            reached = now;
-            events.record(now ? EventType.STORE_FOUND : EventType.STORE_LOST, box, "registration");
-        }
-    }
-
-    /** When the store last answered, on the monotonic clock. */
-    long contactNanos()
-    {
-        return contactNanos;
-    }
-
     @Override
     public void put(String key, byte[] value, long revision)
     {
@@ -151,6 +127,6 @@
     @Override
     public void listed(long revision)
     {
-        contactNanos = System.nanoTime();
+        // a box that is known already stays known
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/box/CellConfigKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CellConfigKeeper.java
@@ -19,7 +19,6 @@
     private final CellPlatform platform;
     private final EventLog events;
     private volatile CellConfig current = CellConfig.NONE;
-    private volatile long contactNanos = System.nanoTime();
 
     CellConfigKeeper(CellPlatform platform, EventLog events)
     {
@@ -66,12 +65,6 @@
     @Override
     public void listed(long revision)
     {
-        contactNanos = System.nanoTime();
-    }
-
-    /** When the whole configuration was last read, on the monotonic clock. */
-    long contactNanos()
-    {
-        return contactNanos;
+        // the configuration is one key; there is nothing to compare
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -26,6 +26,7 @@
 import org.gaugehollow.peer.PeerServer;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.platform.MonitoredStore;
 import org.gaugehollow.schedule.AdviceLines;
 import org.gaugehollow.schedule.CellPlatform;
 import org.gaugehollow.schedule.OwnerElection;
@@ -41,7 +42,6 @@
     private static final int LARGEST_BODY = 1 << 20;
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
-    private static final long SILENT_NANOS = 3_500_000_000L;
     private static final long BALANCER_MILLIS = 2_600;
     private static final long STEP_MILLIS = 20;
     private static final long MILLIS = 1_000;
@@ -54,6 +54,7 @@
     private final Metrics metrics = new Metrics();
     private final NetLoops loops;
     private final CellPlatform platform;
+    private final MonitoredStore store;
     private final Supervisor root;
     private final CellConfigKeeper config;
     private final BoxRegistry registry;
@@ -103,15 +104,15 @@
         InetAddress source = NetAddress.parse(settings.callerAddress()).getAddress();
         this.loops = new NetLoops(Optional.of(source));
         this.platform = openPlatform.apply(new Parts(loops, events, metrics));
+        this.store = new MonitoredStore(platform.store(), events, System::nanoTime);
         this.root = new Supervisor(id, events);
         this.config = new CellConfigKeeper(platform, events);
         this.directory = new PeerDirectory(loops, events, metrics);
         AdviceLines lines = new AdviceLines(platform.advice(), events);
-        this.registry = new BoxRegistry(id, settings.peerAddress(), platform.store(), directory, lines,
-                events);
+        this.registry = new BoxRegistry(id, settings.peerAddress(), store, directory, lines, events);
         this.election = new OwnerElection(id, platform, config, lines,
                 new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), events);
-        JobIntake intake = new JobIntake(platform.store(), events);
+        JobIntake intake = new JobIntake(store, events);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 PeerAdvice.handler(platform.advice()));
         this.callerServer = serve(settings.callerAddress(), callerPort.open(config, intake));
@@ -157,8 +158,7 @@
     /** @return whether callers should be sent here */
     public boolean isReady()
     {
-        boolean heard = System.nanoTime() - registry.contactNanos() < SILENT_NANOS;
-        return !leaving.get() && config.get().version() > 0 && heard;
+        return !leaving.get() && config.get().version() > 0 && !store.isSilent();
     }
 
     /** @return this box's id, new with each start */
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -18,7 +18,7 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
-import org.gaugehollow.platform.PlatformStore;
+import org.gaugehollow.platform.MonitoredStore;
 import org.gaugehollow.platform.StoreListing;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
@@ -38,14 +38,14 @@
     {
     };
 
-    private final PlatformStore store;
+    private final MonitoredStore store;
     private final EventLog events;
 
     /**
      * @param store the platform's store
      * @param events where each decision is recorded
      */
-    public JobIntake(PlatformStore store, EventLog events)
+    public JobIntake(MonitoredStore store, EventLog events)
     {
         this.store = store;
         this.events = events;
@@ -71,6 +71,7 @@
     public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
             throws InterruptedException
     {
+        refuseWhileSilent(id);
         byte[] record = Json.write(new JobRecord(id, queue, job, System.currentTimeMillis()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
@@ -79,6 +80,19 @@
         events.record(EventType.JOB_ACCEPTED, id, queue.name() + (fresh[0] ? "" : ", known already"));
     }
 
+    /**
+     * Nothing is sent to a store that does not answer: the caller is told at once when to come back.
+     */
+    private void refuseWhileSilent(String id)
+    {
+        if (store.isSilent())
+        {
+            events.record(EventType.JOB_REFUSED, id, ResultCode.STORE_UNAVAILABLE + ": the store is silent");
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE,
+                    "the platform's store does not answer");
+        }
+    }
+
     private void writeUntilKnown(Write write, String id, long deadlineNanos) throws InterruptedException
     {
         boolean mayBeDone = false;
@@ -117,6 +131,7 @@
      */
     public void cancel(QueueSpec queue, String id, long deadlineNanos) throws InterruptedException
     {
+        refuseWhileSilent(id);
         find(queue, id, store.list(JobKeys.jobPrefix(id)));
         StoreTransaction write = new StoreTransaction().put(JobKeys.cancel(id), new byte[]{'1'});
         writeUntilKnown(() -> store.commit(write), id, deadlineNanos);
@@ -132,6 +147,7 @@
      */
     public JobState state(QueueSpec queue, String id) throws InterruptedException
     {
+        refuseWhileSilent(id);
         Optional<StoredValue> stored = store.get(JobKeys.progress(id));
         if (stored.isPresent())
         {
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -9,6 +9,7 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
@@ -22,6 +23,7 @@
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.MonitoredStore;
 import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.Test;
 
@@ -36,8 +38,13 @@
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
     private final FakeStore store = new FakeStore();
-    private final JobIntake box = new JobIntake(store, events);
-    private final JobIntake otherBox = new JobIntake(store, events);
+    private final JobIntake box = new JobIntake(monitored(), events);
+    private final JobIntake otherBox = new JobIntake(monitored(), events);
+
+    private MonitoredStore monitored()
+    {
+        return new MonitoredStore(store, events, System::nanoTime);
+    }
 
     private static long in(long millis)
     {
@@ -119,6 +126,29 @@
         assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
     }
 
+    @Test
+    void aStoreKnownToBeSilentIsNotAskedUntilItAnswersAgain() throws InterruptedException
+    {
+        AtomicLong clock = new AtomicLong();
+        MonitoredStore monitored = new MonitoredStore(store, events, clock::get);
+        JobIntake intake = new JobIntake(monitored, events);
+        clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        store.setDown(true);
+        for (int i = 0; i < 2; i++)
+        {
+            assertThat(codeOf(() -> intake.submit(QUEUE, ID, JOB, in(1_000))))
+                    .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        }
+        assertThat(monitored.isSilent()).isTrue();
+        store.setDown(false);
+        assertThat(codeOf(() -> intake.submit(QUEUE, ID, JOB, in(1_000))))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(store.commits()).isEqualTo(0);
+        monitored.get("any");
+        intake.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(store.commits()).isEqualTo(1);
+    }
+
     @Test
     void aStateThatCannotBeReadIsNotGuessed() throws InterruptedException
     {
