Take back: moving runs far behind the others, and rating slow workers lower

Cause: the tasks of a step are uneven by themselves, so a longer task was taken for one on a slow worker and began anew.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -38,7 +38,6 @@
 {
     /** A worker lists at most this many ends at once; a full list may hide others. */
     private static final int MOST_ENDS = 500;
-    private static final double NANOS_PER_MILLI = 1e6;
 
     private final LongSupplier nanoTime;
     private final Map<String, Job> jobs = new HashMap<>();
@@ -329,7 +328,7 @@
         }
     }
 
-    private void done(Task task, WorkerSlot slot)
+    private static void done(Task task, WorkerSlot slot)
     {
         slot.health().succeeded();
         if (task.step().spec().gang())
@@ -337,29 +336,9 @@
             task.step().tasks().forEach(Task::done);
             return;
         }
-        noteSpeed(task, slot);
         task.done();
     }
 
-    private void noteSpeed(Task task, WorkerSlot slot)
-    {
-        long ran = Math.max(1, nanoTime.getAsLong() - task.startedNanos());
-        task.step().ran(ran);
-        long estimate = task.step().spec().estimateMillis();
-        if (estimate > 0 && !task.step().spec().fills())
-        {
-            slot.health().ran(estimate * NANOS_PER_MILLI / ran);
-        }
-    }
-
-    /** The median speed of the workers that are known; 0 if none is. */
-    double usualSpeed()
-    {
-        double[] speeds = workers.values().stream().mapToDouble(slot -> slot.health().speed())
-                .filter(speed -> speed > 0).sorted().toArray();
-        return speeds.length == 0 ? 0 : speeds[speeds.length / 2];
-    }
-
     private void failed(Task task, WorkerSlot slot, int run, Effects effects)
     {
         Step step = task.step();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -28,9 +28,6 @@
     private static final double FAILURE_WEIGHT = 2;
     private static final double UNPROVEN_WEIGHT = 3;
     private static final double AVOIDED_WEIGHT = 100;
-    private static final double SLOW_WEIGHT = 1;
-    /** A worker counts as slow if it runs at less than this share of the usual speed. */
-    private static final double SLOW_SHARE = 0.5;
 
     /**
      * A start that was decided.
@@ -69,7 +66,6 @@
     private final Tickets tickets;
     private final WorkerScore score;
     private Amounts askable = Amounts.NONE;
-    private double slowBelow;
 
     Planner(Ledger ledger, Tickets tickets, WorkerScore score)
     {
@@ -83,7 +79,6 @@
     {
         Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
         askable = freeInAll();
-        slowBelow = ledger.usualSpeed() * SLOW_SHARE;
         for (Job job : ledger.byUrgency(wallMillis))
         {
             job.beginDueRounds(wallMillis);
@@ -255,7 +250,6 @@
         rating += slot.health().isAvoided(nowNanos) ? AVOIDED_WEIGHT : 0;
         rating += slot.health().hasFailures() ? FAILURE_WEIGHT : 0;
         rating += task.failures() > 0 && !slot.health().isProven() ? UNPROVEN_WEIGHT : 0;
-        rating += slot.health().speed() > 0 && slot.health().speed() < slowBelow ? SLOW_WEIGHT : 0;
         rating += task.hasFailedOn(slot) ? UNPROVEN_WEIGHT : 0;
         boolean far = spec.affinity() != null && !spec.affinity().isEmpty()
                 && !slot.entry().labels().contains(spec.affinity());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/StallGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/StallGuard.java
@@ -4,23 +4,15 @@
  */
 package org.gaugehollow.schedule;
 
-import org.gaugehollow.job.StepSpec;
-
 /**
- * Finds runs that stand still or are far behind and moves them to other workers: a task whose
- * progress has not changed for a while, one that needs much longer than the others of its step, and
- * a long-running one that does not get to work after its start.
+ * Finds runs that stand still and moves them to other workers: a task whose progress has not
+ * changed for a while, and a long-running one that does not get to work after its start.
  */
 final class StallGuard
 {
     private static final long STALL_NANOS = 2_500_000_000L;
     private static final long START_NANOS = 5_000_000_000L;
     private static final int WHOLE = 100;
-    /**
-     * A run is far behind if it still needs more than this many times the usual time of a whole run.
-     */
-    private static final int BEHIND_FACTOR = 2;
-    private static final long BEHIND_MARGIN_NANOS = 400_000_000L;
 
     private final Ledger ledger;
 
@@ -52,27 +44,7 @@
                 slot.health().stoodStill(nowNanos);
                 stop(task, effects);
             }
-            else if (task.phase() == Task.Phase.RUNNING && isFarBehind(task, nowNanos))
-            {
-                task.moveAway();
-                effects.stop(task);
-            }
-        }
-    }
-
-    /** Whether a run elsewhere would surely end earlier, judged by the other tasks of its step. */
-    private static boolean isFarBehind(Task task, long nowNanos)
-    {
-        StepSpec spec = task.step().spec();
-        long usual = task.step().usualNanos();
-        boolean alike = !spec.gang() && !spec.longRunning() && !spec.fills();
-        if (usual == 0 || !alike || task.movedOnce() || task.percent() <= 0)
-        {
-            return false;
         }
-        long ran = nowNanos - task.startedNanos();
-        long left = ran / task.percent() * (WHOLE - task.percent());
-        return ran > usual && left > BEHIND_FACTOR * usual + BEHIND_MARGIN_NANOS;
     }
 
     private static boolean standsStill(Task task, long nowNanos)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -23,8 +23,6 @@
     private final List<Task> tasks = new ArrayList<>();
     private int failedGangRun;
     private int gangFailures;
-    private int doneRuns;
-    private long doneNanos;
 
     Step(Job job, int round, int number, StepSpec spec)
     {
@@ -96,19 +94,6 @@
         return tasks.stream().filter(task -> task.worker() == slot).count();
     }
 
-    /** A run of one of its tasks ended well after some time. */
-    void ran(long nanos)
-    {
-        doneRuns++;
-        doneNanos += nanos;
-    }
-
-    /** How long its tasks run on average; 0 while fewer than half of them have ended. */
-    long usualNanos()
-    {
-        return doneRuns * 2 < tasks.size() ? 0 : doneNanos / doneRuns;
-    }
-
     /** How many tasks of a long-running step are not at work. */
     long countAway()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -44,7 +44,6 @@
     private long pacedNanos;
     private double gauge;
     private String failedOn;
-    private boolean movedOnce;
 
     Task(Step step, int index)
     {
@@ -174,18 +173,6 @@
         failedOn = slot.id();
     }
 
-    /** It is moved because it is far behind the others; this is done once. */
-    void moveAway()
-    {
-        movedOnce = true;
-        failedOn = worker.id();
-    }
-
-    boolean movedOnce()
-    {
-        return movedOnce;
-    }
-
     boolean hasFailedOn(WorkerSlot slot)
     {
         return slot.id().equals(failedOn);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerHealth.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerHealth.java
@@ -17,12 +17,9 @@
     private static final int SUSPECT_AFTER = 2;
     private static final long REFUSED_MILLIS = 500;
     private static final long SUSPECT_MILLIS = 4_000;
-    /** The share of the newest run in the average speed. */
-    private static final double SPEED_SHARE = 0.3;
 
     private final Set<String> failedJobs = new HashSet<>();
     private boolean proven;
-    private double speed;
     private long avoidUntilNanos = Long.MIN_VALUE;
 
     /** A run ended well. */
@@ -57,18 +54,6 @@
         avoidUntilNanos = nowNanos + SUSPECT_MILLIS * NANOS_PER_MILLI;
     }
 
-    /** A run ended well; its estimated time over the time it took, 1 where the estimate held. */
-    void ran(double speedSample)
-    {
-        speed = speed == 0 ? speedSample : speed + SPEED_SHARE * (speedSample - speed);
-    }
-
-    /** How fast runs are there against their estimates, averaged over the last ones; 0 if not known. */
-    double speed()
-    {
-        return speed;
-    }
-
     boolean isAvoided(long nowNanos)
     {
         return nowNanos < avoidUntilNanos;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/GuardsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/GuardsTest.java
@@ -14,9 +14,7 @@
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.Amounts;
-import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.worker.HoldAnswer.RunningRun;
-import org.gaugehollow.worker.RunEnd;
 import org.gaugehollow.worker.WorkerEntry;
 import org.junit.jupiter.api.Test;
 
@@ -138,45 +136,6 @@
         assertThat(new StallGuard(ledger).check(clock.get()).stops()).hasSize(2);
     }
 
-    @Test
-    void aRunFarBehindTheOthersOfItsStepMovesOnce()
-    {
-        ledger.accept(TestJobs.job(TestJobs.ID, TestJobs.step(3, 100, List.of())), 1, null, 0);
-        List<Task> tasks = ledger.find(TestJobs.ID + ".0.0.0").step().tasks();
-        for (Task task : tasks)
-        {
-            task.order(slot, 1, clock.get());
-            task.begun(clock.get());
-        }
-        clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
-        ledger.look(slot,
-                TestJobs.answer(List.of(new RunningRun(tasks.get(2).name(), 1, "", 20, 0)),
-                        List.of(TestJobs.ended(1, tasks.get(0), RunEnd.DONE),
-                                TestJobs.ended(2, tasks.get(1), RunEnd.DONE))),
-                0, clock.get());
-        StallGuard guard = new StallGuard(ledger);
-        assertThat(guard.check(clock.get()).stops()).isEmpty();
-        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(100));
-        assertThat(guard.check(clock.get()).stops()).hasSize(1);
-        assertThat(tasks.get(2).hasFailedOn(slot)).isTrue();
-    }
-
-    @Test
-    void aSlowWorkerGetsWorkOnlyWhereNoOtherHasRoom()
-    {
-        WorkerSlot slow = ledger.list(TestJobs.worker("w2", 64_000));
-        WorkerSlot usual = ledger.list(TestJobs.worker("w3", 64_000));
-        for (WorkerSlot each : List.of(slot, slow, usual))
-        {
-            each.setHeld(true);
-            each.health().ran(each == slow ? 0.2 : 1);
-        }
-        ledger.accept(TestJobs.job(TestJobs.ID, TestJobs.step(40, 1_000, List.of())), 1, null, 0);
-        Planner planner = new Planner(ledger, new NoTickets(), new WaitingFirstScore(0.5));
-        assertThat(planner.plan(clock.get(), 0).starts()).hasSize(40);
-        assertThat(slow.tasks()).isEmpty();
-    }
-
     @Test
     void aLateJobWaitsBehindThoseThatAreNot()
     {
