--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -114,7 +114,7 @@
         this.election = new OwnerElection(id, platform, config, lines,
                 new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), settings.statusSeconds(),
                 events);
-        JobIntake intake = new JobIntake(store, events);
+        JobIntake intake = new JobIntake(store, events, metrics);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 PeerAdvice.handler(platform.advice()));
         this.callerServer = serve(settings.callerAddress(), callerPort.open(config, intake));
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -9,6 +9,7 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
+import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobRecord;
@@ -40,15 +41,45 @@
 
     private final MonitoredStore store;
     private final EventLog events;
+    private final Metrics metrics;
 
     /**
      * @param store the platform's store
      * @param events where each decision is recorded
+     * @param metrics counts and times the calls
      */
-    public JobIntake(MonitoredStore store, EventLog events)
+    public JobIntake(MonitoredStore store, EventLog events, Metrics metrics)
     {
         this.store = store;
         this.events = events;
+        this.metrics = metrics;
+    }
+
+    /** One call of a caller. */
+    private interface Call<T>
+    {
+        T run() throws InterruptedException;
+    }
+
+    private <T> T timed(String name, Call<T> call) throws InterruptedException
+    {
+        long begun = System.nanoTime();
+        ResultCode code = ResultCode.INTERNAL;
+        try
+        {
+            T result = call.run();
+            code = ResultCode.OK;
+            return result;
+        }
+        catch (GaugehollowException e)
+        {
+            code = e.code();
+            throw e;
+        }
+        finally
+        {
+            metrics.jobCall(name, code.name(), System.nanoTime() - begun);
+        }
     }
 
     /** One conditional write, which may be sent again under the same condition. */
@@ -70,6 +101,12 @@
      */
     public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
             throws InterruptedException
+    {
+        timed("submit", () -> accept(queue, id, job, deadlineNanos));
+    }
+
+    private boolean accept(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
+            throws InterruptedException
     {
         refuseWhileSilent(id);
         byte[] record = Json.write(new JobRecord(id, queue, job, System.currentTimeMillis()));
@@ -78,6 +115,7 @@
         boolean[] fresh = new boolean[1];
         writeUntilKnown(() -> fresh[0] = store.commit(write).isPresent(), id, deadlineNanos);
         events.record(EventType.JOB_ACCEPTED, id, queue.name() + (fresh[0] ? "" : ", known already"));
+        return fresh[0];
     }
 
     /**
@@ -130,12 +168,19 @@
      * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
      */
     public void cancel(QueueSpec queue, String id, long deadlineNanos) throws InterruptedException
+    {
+        timed("cancel", () -> writeCancellation(queue, id, deadlineNanos));
+    }
+
+    private boolean writeCancellation(QueueSpec queue, String id, long deadlineNanos)
+            throws InterruptedException
     {
         refuseWhileSilent(id);
         find(queue, id, store.list(JobKeys.jobPrefix(id)));
         StoreTransaction write = new StoreTransaction().put(JobKeys.cancel(id), new byte[]{'1'});
         writeUntilKnown(() -> store.commit(write), id, deadlineNanos);
         events.record(EventType.JOB_CANCELLED, id, queue.name());
+        return true;
     }
 
     /**
@@ -146,6 +191,11 @@
      * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
      */
     public JobState state(QueueSpec queue, String id) throws InterruptedException
+    {
+        return timed("state", () -> read(queue, id));
+    }
+
+    private JobState read(QueueSpec queue, String id) throws InterruptedException
     {
         refuseWhileSilent(id);
         Optional<StoredValue> stored = store.get(JobKeys.progress(id));
--- a/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -26,6 +26,8 @@
     private static final double[] SECONDS = {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
             2, 5, 10};
 
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter results = Counter.builder().name("gaugehollow_requests_total")
             .help("Requests answered, by class and result code.").labelNames("class", "code")
@@ -33,6 +35,12 @@
     private final Histogram waiting = Histogram.builder().name("gaugehollow_waiting_seconds")
             .help("Time a task waited for its placement, by class and policy.").labelNames("class", "policy")
             .classicOnly().classicUpperBounds(SECONDS).register(registry);
+    private final Counter jobCalls = Counter.builder().name("gaugehollow_job_calls_total")
+            .help("Calls about jobs, by what was asked and result code.").labelNames("call", "code")
+            .register(registry);
+    private final Histogram jobSeconds = Histogram.builder().name("gaugehollow_job_call_seconds")
+            .help("Time until a call about a job was answered.").labelNames("call").classicOnly()
+            .classicUpperBounds(SECONDS).register(registry);
     private final Counter storeCalls = Counter.builder().name("gaugehollow_store_calls_total")
             .help("Calls to the platform's service, by kind and result.").labelNames("kind", "result")
             .register(registry);
@@ -42,6 +50,19 @@
             .help("Tries after a task was not run, by what became of the wish.").labelNames("result")
             .register(registry);
 
+    /**
+     * Notes one call about a job.
+     *
+     * @param call what was asked
+     * @param code the result code's name
+     * @param nanos how long it took, in nanoseconds
+     */
+    public void jobCall(String call, String code, long nanos)
+    {
+        jobCalls.labelValues(call, code).inc();
+        jobSeconds.labelValues(call).observe(nanos / NANOS_PER_SECOND);
+    }
+
     /** @return requests answered */
     public Counter results()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -7,12 +7,14 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobSpec;
@@ -37,9 +39,10 @@
             false, false, false, null, null, 0, false, false, null, 0, false, 0)), 0, 0, 0);
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final Metrics metrics = new Metrics();
     private final FakeStore store = new FakeStore();
-    private final JobIntake box = new JobIntake(monitored(), events);
-    private final JobIntake otherBox = new JobIntake(monitored(), events);
+    private final JobIntake box = new JobIntake(monitored(), events, metrics);
+    private final JobIntake otherBox = new JobIntake(monitored(), events, metrics);
 
     private MonitoredStore monitored()
     {
@@ -131,7 +134,7 @@
     {
         AtomicLong clock = new AtomicLong();
         MonitoredStore monitored = new MonitoredStore(store, events, clock::get);
-        JobIntake intake = new JobIntake(monitored, events);
+        JobIntake intake = new JobIntake(monitored, events, metrics);
         clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
         store.setDown(true);
         for (int i = 0; i < 2; i++)
@@ -149,6 +152,17 @@
         assertThat(store.commits()).isEqualTo(1);
     }
 
+    @Test
+    void callsAreCountedByTheirResult() throws InterruptedException
+    {
+        box.submit(QUEUE, ID, JOB, in(1_000));
+        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        String scraped = new String(metrics.scrape(), StandardCharsets.UTF_8);
+        assertThat(scraped).contains("gaugehollow_job_calls_total{call=\"submit\",code=\"OK\"} 1.0");
+        assertThat(scraped).contains("gaugehollow_job_calls_total{call=\"state\",code=\"UNKNOWN_JOB\"} 1.0");
+        assertThat(scraped).contains("gaugehollow_job_call_seconds_count{call=\"submit\"} 1");
+    }
+
     @Test
     void aStateThatCannotBeReadIsNotGuessed() throws InterruptedException
     {
