--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/BackgroundLoad.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/BackgroundLoad.java
@@ -36,6 +36,7 @@
     /** The same, with names of their own for the requests and callers of less patience. */
     BackgroundLoad(TestCell cell, List<TestBox> boxes, int count, String workload, int millis, String prefix)
     {
+        cell.register(this);
         this.prefix = prefix;
         this.timeoutMillis = "load".equals(prefix) ? LONG_TIMEOUT_MILLIS : SHORT_TIMEOUT_MILLIS;
         for (int i = 0; i < count; i++)
@@ -68,6 +69,13 @@
         return (int) replies.values().stream().filter(r -> "answered".equals(TestCell.outcome(r))).count();
     }
 
+    /** Ends the load without waiting for its answers. */
+    void abandon()
+    {
+        running.set(false);
+        callers.forEach(Thread::interrupt);
+    }
+
     /** Ends the load and returns each request's echo with its answer. */
     Map<String, HttpReply> stop() throws InterruptedException
     {
--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -57,6 +57,7 @@
     }
 
     final NetLoops loops = new NetLoops(Optional.empty());
+    private final List<BackgroundLoad> loads = new ArrayList<>();
     final Map<String, TestBox> boxes = new LinkedHashMap<>();
     final Map<String, TestProcess> workers = new LinkedHashMap<>();
     final TestProcess platform;
@@ -439,9 +440,16 @@
         return text.toString();
     }
 
+    /** Load that ends with the cell, also where a test fails before it stops it. */
+    void register(BackgroundLoad load)
+    {
+        loads.add(load);
+    }
+
     @Override
     public void close()
     {
+        loads.forEach(BackgroundLoad::abandon);
         boxes.values().forEach(box -> box.process.close());
         workers.values().forEach(TestProcess::close);
         platform.close();
