--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -109,10 +109,10 @@
         settledNanos = nowNanos;
     }
 
-    /** A stop of a run was answered; it says nothing of a later run. */
+    /** A stop of a run was answered. Only the first answer counts, and it says nothing of a later run. */
     void settleStop(WorkerSlot slot, int stoppedRun, long nowNanos)
     {
-        if (phase == Phase.STOPPING && isAt(slot, stoppedRun))
+        if (phase == Phase.STOPPING && isAt(slot, stoppedRun) && settledNanos == UNSETTLED)
         {
             settle(nowNanos);
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
@@ -176,6 +176,20 @@
         assertThat(plan().getFirst().run()).isEqualTo(2);
     }
 
+    @Test
+    void aStopThatIsAnsweredTwiceIsSettledByTheFirstAnswer()
+    {
+        ledger.accept(TestJobs.job(TestJobs.ID, TestJobs.step(1, 500, List.of())), 1, null, 0);
+        Planner.Start start = plan().getFirst();
+        Task task = taskOf(start);
+        task.stopping();
+        task.settleStop(start.slot(), 1, clock.get());
+        long sent = later();
+        task.settleStop(start.slot(), 1, later());
+        ledger.look(start.slot(), TestJobs.answer(List.of(), List.of()), 0, sent);
+        assertThat(task.occupies()).isFalse();
+    }
+
     @Test
     void anAnswerToTheStopOfAnEarlierRunDoesNotSettleTheNextOne()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -29,10 +29,13 @@
 import org.gaugehollow.worker.RunEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * Terms of owners against a store and workers in memory: what is taken over, settled and written.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class OwnerTermTest
 {
     private static final String TASK = TestJobs.ID + ".0.0.0";
