--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -109,7 +109,9 @@
         settledNanos = nowNanos;
     }
 
-    /** A stop of a run was answered. Only the first answer counts, and it says nothing of a later run. */
+    /**
+     * A stop of a run was answered. Only the first answer counts, and it says nothing of a later run.
+     */
     void settleStop(WorkerSlot slot, int stoppedRun, long nowNanos)
     {
         if (phase == Phase.STOPPING && isAt(slot, stoppedRun) && settledNanos == UNSETTLED)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -149,7 +149,8 @@
         {
             for (Task task : slot.tasks())
             {
-                boolean unanswered = task.phase() == Task.Phase.STOPPING && task.settledNanos() == Task.UNSETTLED;
+                boolean unanswered = task.phase() == Task.Phase.STOPPING
+                        && task.settledNanos() == Task.UNSETTLED;
                 if (unanswered && !activeStops.contains(task.name()))
                 {
                     open.add(new Effects.Stop(slot, task.name(), task.run(), task));
