--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
@@ -56,6 +57,14 @@
         boolean holds() throws InterruptedException;
     }
 
+    /**
+     * Cells side by side have addresses of their own, so that none takes a port that another one is
+     * about to use.
+     */
+    private static final AtomicInteger CELLS = new AtomicInteger((int) ProcessHandle.current().pid());
+    private static final int MOST_CELLS = 250;
+
+    private final int number = CELLS.getAndIncrement() % MOST_CELLS;
     final NetLoops loops = new NetLoops(Optional.empty());
     private final List<BackgroundLoad> loads = new ArrayList<>();
     final Map<String, TestBox> boxes = new LinkedHashMap<>();
@@ -111,7 +120,7 @@
     TestBox startBox(String name, String hall)
     {
         started++;
-        String ip = "127.0.1." + started;
+        String ip = "127.1." + number + '.' + started;
         ipOfBox.put(name, ip);
         String callers = ip + ':' + freePort(ip);
         String operators = ip + ':' + freePort(ip);
@@ -154,7 +163,7 @@
     void startWorker(String id, String hall)
     {
         // an address of its own, whose ports no outgoing connection can take before the worker listens
-        String ip = "127.0.2." + (workers.size() + 1);
+        String ip = "127.2." + number + '.' + (workers.size() + 1);
         String listen = ip + ':' + freePort(ip);
         String advertised = hops.add("worker-" + id, listen);
         List<String> args = new ArrayList<>(List.of("worker-standin", "--listen", listen, "--advertise",
