--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -40,6 +40,7 @@
 {
     private static final String TASK = TestJobs.ID + ".0.0.0";
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long CONFIRM_MILLIS = 300;
     private static final StepSpec ONE = TestJobs.step(1, 1_000, List.of());
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
@@ -67,10 +68,21 @@
         AdviceLines lines = new AdviceLines(platform.advice(), events);
         term = new OwnerTerm(platform, lease, events, supervisor.child("term"), () -> CellConfig.NONE, lines,
                 new WaitingFirstScore(0.5), RETENTION_NANOS);
+        supervisor.start("renewals", () -> confirmForever(lease));
         term.begin();
         return lease;
     }
 
+    /** Does what the election does: without it a term ends itself after some seconds. */
+    private static void confirmForever(OwnerLease lease) throws InterruptedException
+    {
+        while (true)
+        {
+            lease.confirmed();
+            Thread.sleep(CONFIRM_MILLIS);
+        }
+    }
+
     private void accept(StepSpec... steps) throws InterruptedException
     {
         platform.store().commit(new StoreTransaction().put(JobKeys.job(TestJobs.ID),
