Do not renew the lease of a worker that does not answer

Cause: every look carried a new deadline, also to a worker that had not answered the look before. Ruled out: the task waiting for room or advice (it was in phase STOPPING on the worker that had left), a lost change of owner.

Change: a look after an unanswered one leaves the lease as it is. The test failed before: the run was not started elsewhere within 9 s of silence; now it is, and not before the lease is over.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -32,6 +32,9 @@
     /** How long the runs on a worker live on when nothing is heard from the owner, in milliseconds. */
     static final long LEASE_MILLIS = 6_000;
 
+    /** In a look: leave the lease as it is. */
+    private static final long LEAVE_LEASE = 0;
+
     private static final int BUSY_WAIT_MILLIS = 1_000;
     private static final int IDLE_WAIT_MILLIS = 2_000;
     private static final int SHARED_WAIT_MILLIS = 500;
@@ -107,11 +110,15 @@
         }
     }
 
+    /**
+     * A look renews the worker's lease only if the one before was answered. Else the lease of a worker
+     * that is gone would never be known to be over: each look may have arrived.
+     */
     private HoldOrder holdOrder(boolean blocked)
     {
         synchronized (term.ledger())
         {
-            long deadline = slot.deadlineIn(LEASE_MILLIS, System.nanoTime());
+            long deadline = reachable ? slot.deadlineIn(LEASE_MILLIS, System.nanoTime()) : LEAVE_LEASE;
             int busyWait = PaceKeeper.isShared(slot) ? SHARED_WAIT_MILLIS : BUSY_WAIT_MILLIS;
             int wait = slot.isIdle() ? IDLE_WAIT_MILLIS : busyWait;
             boolean first = !slot.held();
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -249,6 +249,20 @@
         assertThat(within(5_000, () -> worker.begun().equals(List.of(TASK + "/1")))).isTrue();
     }
 
+    @Test
+    void runsOfAWorkerThatStopsAnsweringStartElsewhereOnceItsLeaseIsOverAndNotBefore()
+            throws InterruptedException
+    {
+        FakeWorker silent = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(within(3_000, () -> !silent.begun().isEmpty())).isTrue();
+        silent.setSilent(true);
+        FakeWorker other = platform.addWorker("w2");
+        assertThat(within(4_500, () -> !other.begun().isEmpty())).isFalse();
+        assertThat(within(4_500, () -> other.begun().equals(List.of(TASK + "/2")))).isTrue();
+    }
+
     @Test
     void anOwnerThatAWorkerFencesStops() throws InterruptedException
     {
