An answer of the store heard of again does not look younger

Cause: boxes tell each other how long ago the store answered anyone, and each took the age as of the arrival of the word. Told to and fro, the same answer grew younger by the time each word took. As soon as it seemed to be younger than a box's own lease, nobody vouched for that box any more, and its rights ended for the rest of the outage. A slow machine gets there within seconds.

Change: an answer is told with the box that got it and a number, and of the same answer the earliest time counts.

--- a/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/EntryBox.java
@@ -95,7 +95,7 @@
     private final HallView halls;
     private final BlockingQueue<HallMap> newerMaps = new LinkedBlockingQueue<>();
     private final Rights rights;
-    private final StoreEvidence evidence = new StoreEvidence(System::nanoTime);
+    private final StoreEvidence evidence;
     private final RosterKeeper roster;
     private final PeerDirectory directory;
     private final PeerMonitor peers;
@@ -128,6 +128,7 @@
         this.events = new EventLog(id, new HybridClock(System::currentTimeMillis));
         this.loops = new NetLoops(Optional.ofNullable(settings.sourceIp()));
         this.root = new Supervisor(id, events);
+        this.evidence = new StoreEvidence(id, System::nanoTime);
         TimingSettings timing = settings.timing();
         this.store = openStore(settings.platform());
         this.halls = new HallView(self.hall(), config, events);
@@ -333,8 +334,10 @@
     private BoxStatus status()
     {
         Amounts free = rights.valid() ? engine.free() : Amounts.NONE;
+        StoreEvidence.Sighting sighting = evidence.newestSighting();
         return BoxStatus.newBuilder().setBox(self.id()).setHall(self.hall())
-                .setStoreEvidenceAgeMillis(evidence.ageMillis()).setMapEpoch(halls.epoch())
+                .setStoreEvidenceBox(sighting.box()).setStoreEvidenceNumber(sighting.number())
+                .setStoreEvidenceAgeMillis(sighting.ageMillis()).setMapEpoch(halls.epoch())
                 .setConfigRevision(config.revision()).setRosterVersion(roster.version())
                 .setFreeSlots(free.slots()).setFreeCpuMillis(free.cpuMillis())
                 .setFreeMemoryMib(free.memoryMib()).setFreeAccelerators(free.accelerators())
--- a/gaugehollow/src/main/java/org/gaugehollow/entry/PeerCalls.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/PeerCalls.java
@@ -76,7 +76,7 @@
 
     private Frame.Builder ping(BoxStatus sender)
     {
-        evidence.heard(sender.getStoreEvidenceAgeMillis());
+        evidence.heard(StateMessages.sightingOf(sender));
         return Frame.newBuilder().setPingReply(PingReply.newBuilder().setStatus(ownStatus.get()));
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
@@ -12,7 +12,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.gaugehollow.config.ConfigDelta;
@@ -223,10 +222,7 @@
     private void take(String box, PeerView view, long sentAt, BoxStatus status)
     {
         long age = status.getStoreEvidenceAgeMillis();
-        long answeredAt = age < 0
-                ? evidence.newestNanos()
-                : System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(age);
-        evidence.heard(age);
+        long answeredAt = evidence.heard(StateMessages.sightingOf(status));
         boolean sameMap = status.getMapEpoch() == halls.epoch() && status.getBox().equals(box);
         boolean wasVouched = rights.vouchedBy(answeredAt);
         view.replied(sentAt, status, sameMap && (age < 0 || wasVouched));
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StateMessages.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StateMessages.java
@@ -10,6 +10,7 @@
 import org.gaugehollow.config.ConfigDelta;
 import org.gaugehollow.model.ConfigEntry;
 import org.gaugehollow.peer.generated.PeerProtocol;
+import org.gaugehollow.peer.generated.PeerProtocol.BoxStatus;
 import org.gaugehollow.peer.generated.PeerProtocol.StateReply;
 
 import com.google.protobuf.ByteString;
@@ -21,6 +22,16 @@
     {
     }
 
+    /**
+     * @param status what a peer says of itself
+     * @return the newest answer of the store that it knows of
+     */
+    public static StoreEvidence.Sighting sightingOf(BoxStatus status)
+    {
+        return new StoreEvidence.Sighting(status.getStoreEvidenceBox(), status.getStoreEvidenceNumber(),
+                status.getStoreEvidenceAgeMillis());
+    }
+
     /**
      * @param reply a peer's message
      * @return the delta in it
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/StoreEvidence.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/StoreEvidence.java
@@ -4,67 +4,123 @@
  */
 package org.gaugehollow.membership;
 
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
 /**
  * The newest time at which the store is known to have answered any box of the hall: this one, or
- * one whose word reached it through peers. It never goes back. Thread-safe.
+ * one whose word reached it through peers. Each answer carries the box that got it and a number, so
+ * that the same answer heard of again, over a slower way, never looks younger than it is. The time
+ * never goes back to before an answer that is known. Thread-safe.
  */
 public final class StoreEvidence
 {
     /** The age that says that no answer is known. */
     public static final long NEVER = -1L;
 
+    private static final long KEPT_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    /**
+     * An answer of the store to one box.
+     *
+     * @param box the box that got it
+     * @param number counts the answers that this box got
+     * @param ageMillis how long ago that was, milliseconds
+     */
+    public record Sighting(String box, long number, long ageMillis)
+    {
+        /** No answer is known. */
+        public static final Sighting NONE = new Sighting("", 0, NEVER);
+    }
+
+    /** An answer and the latest time at which it can have been given. */
+    private record Answer(long number, long at)
+    {
+    }
+
+    private final String self;
     private final LongSupplier nanoTime;
-    private final AtomicLong newest;
     private final long startedAt;
+    private final Map<String, Answer> answers = new HashMap<>();
 
     /**
+     * @param self this box's id
      * @param nanoTime a monotonic clock
      */
-    public StoreEvidence(LongSupplier nanoTime)
+    public StoreEvidence(String self, LongSupplier nanoTime)
     {
+        this.self = self;
         this.nanoTime = nanoTime;
         this.startedAt = nanoTime.getAsLong() - TimeUnit.DAYS.toNanos(365);
-        this.newest = new AtomicLong(startedAt);
     }
 
     /** The store answered this box just now. */
-    public void answered()
+    public synchronized void answered()
     {
-        advanceTo(nanoTime.getAsLong());
+        Answer last = answers.get(self);
+        answers.put(self, new Answer(last == null ? 1 : last.number() + 1, nanoTime.getAsLong()));
     }
 
     /**
-     * A peer's reply says how long ago the store answered it or a box it heard of.
+     * A peer tells of an answer to itself or to a box it heard of.
      *
-     * @param ageMillis the age at the reply, or {@link #NEVER}
+     * @param sighting the answer, its age as of when the peer sent its word
+     * @return when that answer was given, at the latest, on the monotonic clock; the newest known time
+     *         if the peer knows of none
      */
-    public void heard(long ageMillis)
+    public synchronized long heard(Sighting sighting)
     {
-        if (ageMillis >= 0)
+        if (sighting.ageMillis() < 0)
         {
-            advanceTo(nanoTime.getAsLong() - TimeUnit.MILLISECONDS.toNanos(ageMillis));
+            return newestNanos();
         }
+        long at = nanoTime.getAsLong() - TimeUnit.MILLISECONDS.toNanos(sighting.ageMillis());
+        Answer known = answers.get(sighting.box());
+        if (known == null || sighting.number() > known.number())
+        {
+            forgetLongPast();
+            answers.put(sighting.box(), new Answer(sighting.number(), at));
+            return at;
+        }
+        if (sighting.number() == known.number() && known.at() - at > 0)
+        {
+            answers.put(sighting.box(), new Answer(sighting.number(), at));
+            return at;
+        }
+        return known.at();
     }
 
     /** @return when the store last answered anyone, as far as is known, on the monotonic clock */
-    public long newestNanos()
+    public synchronized long newestNanos()
+    {
+        return newest().map(entry -> entry.getValue().at()).orElse(startedAt);
+    }
+
+    /** @return the newest answer that is known, to tell peers of */
+    public synchronized Sighting newestSighting()
+    {
+        return newest().map(entry -> new Sighting(entry.getKey(), entry.getValue().number(),
+                ageMillis(entry.getValue().at()))).orElse(Sighting.NONE);
+    }
+
+    private Optional<Map.Entry<String, Answer>> newest()
     {
-        return newest.get();
+        return answers.entrySet().stream()
+                .max(Comparator.comparingLong(entry -> entry.getValue().at() - startedAt));
     }
 
-    /** @return how long ago that was, or {@link #NEVER} */
-    public long ageMillis()
+    private long ageMillis(long at)
     {
-        long at = newest.get();
-        return at == startedAt ? NEVER : TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - at);
+        return TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - at);
     }
 
-    private void advanceTo(long at)
+    private void forgetLongPast()
     {
-        newest.accumulateAndGet(at, (a, b) -> b - a > 0 ? b : a);
+        long now = nanoTime.getAsLong();
+        answers.values().removeIf(answer -> now - answer.at() > KEPT_NANOS);
     }
 }
