Answer callers over a peer while the store does not answer this box

A write without an answer also went on to the caller's deadline although the store was known to be silent.

Change: a request that this box's store does not answer is handed whole to a peer, which decides by its own configuration and writes under the same condition. What a peer may have run is told as unknown, never as not run. Where no peer helps, the refusal ends the connection, so that the caller comes back through another box. Ruled out: passing single store calls on (a box with an old configuration would go on deciding by it).

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.box;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -124,6 +125,14 @@
         drop(peer, "no longer registered at revision " + revision);
     }
 
+    /** The other registered boxes, as ways for callers' requests. */
+    Map<String, CallerRelay.Peer> relayPeers()
+    {
+        Map<String, CallerRelay.Peer> peers = new HashMap<>();
+        addresses.forEach((peer, address) -> peers.put(peer, new RelayPeer(directory.link(address))));
+        return peers;
+    }
+
     @Override
     public void listed(long revision)
     {
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -0,0 +1,175 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpExchange;
+import org.gaugehollow.net.HttpHandler;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+
+/**
+ * Answers callers, over a peer where the store does not answer this box. The peer decides by its
+ * own configuration and writes under the same condition, so it does not matter whether an earlier
+ * try took effect. Where no peer helps either, the refusal ends the caller's connection, so that
+ * the caller comes back through another box.
+ */
+final class CallerRelay implements HttpHandler
+{
+    /** How long a peer that did not help is left out. */
+    private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final int MOST_PEERS = 2;
+
+    /** One way to a peer. */
+    @FunctionalInterface
+    interface Peer
+    {
+        /**
+         * @param request a caller's request
+         * @return the peer's answer
+         * @throws InterruptedException if the process stops
+         * @throws GaugehollowException {@code PEER_UNREACHABLE} if the request was surely not sent,
+         *             {@code PEER_LOST} if it may have been, or the code of the peer's refusal
+         */
+        HttpReply answer(HttpMessage request) throws InterruptedException;
+    }
+
+    private final CallerService own;
+    private final Supplier<Map<String, Peer>> peers;
+    private final EventLog events;
+    private final LongSupplier nanoTime;
+    private final Map<String, Long> pausedSince = new ConcurrentHashMap<>();
+
+    /**
+     * @param own this box's service
+     * @param peers the other boxes, by id
+     * @param events where each relayed request is recorded
+     * @param nanoTime a monotonic clock
+     */
+    CallerRelay(CallerService own, Supplier<Map<String, Peer>> peers, EventLog events, LongSupplier nanoTime)
+    {
+        this.own = own;
+        this.peers = peers;
+        this.events = events;
+        this.nanoTime = nanoTime;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws InterruptedException
+    {
+        try
+        {
+            exchange.respond(answer(exchange.request()));
+        }
+        catch (GaugehollowException e)
+        {
+            if (!mayHelpElsewhere(e.code()))
+            {
+                throw e;
+            }
+            exchange.respond(HttpReply.error(e), true);
+        }
+    }
+
+    /** Answers a request, over a peer if need be. */
+    HttpReply answer(HttpMessage request) throws InterruptedException
+    {
+        try
+        {
+            return own.answer(request);
+        }
+        catch (GaugehollowException e)
+        {
+            if (!mayHelpElsewhere(e.code()))
+            {
+                throw e;
+            }
+            return overPeers(request, e);
+        }
+    }
+
+    private HttpReply overPeers(HttpMessage request, GaugehollowException refusal) throws InterruptedException
+    {
+        GaugehollowException worst = refusal;
+        for (Map.Entry<String, Peer> peer : peersToAsk())
+        {
+            try
+            {
+                HttpReply reply = peer.getValue().answer(request);
+                record(request, peer.getKey(), String.valueOf(reply.status()));
+                return reply;
+            }
+            catch (GaugehollowException e)
+            {
+                record(request, peer.getKey(), e.code() + ": " + e.getMessage());
+                if (!mayHelpElsewhere(e.code()))
+                {
+                    throw isUnknown(worst) ? worst : e;
+                }
+                pausedSince.put(peer.getKey(), nanoTime.getAsLong());
+                worst = isUnknown(worst) ? worst : asStoreTrouble(e);
+            }
+        }
+        throw worst;
+    }
+
+    private void record(HttpMessage request, String peer, String outcome)
+    {
+        events.record(EventType.CALL_RELAYED, request.path(), "over " + peer + ": " + outcome);
+    }
+
+    private List<Map.Entry<String, Peer>> peersToAsk()
+    {
+        Map<String, Peer> known = peers.get();
+        pausedSince.keySet().retainAll(known.keySet());
+        List<Map.Entry<String, Peer>> usable = new ArrayList<>();
+        for (Map.Entry<String, Peer> peer : known.entrySet())
+        {
+            Long since = pausedSince.get(peer.getKey());
+            if (since == null || nanoTime.getAsLong() - since > PAUSE_NANOS)
+            {
+                usable.add(peer);
+            }
+        }
+        Collections.shuffle(usable);
+        return usable.subList(0, Math.min(MOST_PEERS, usable.size()));
+    }
+
+    private static boolean mayHelpElsewhere(ResultCode code)
+    {
+        return switch (code)
+        {
+            case STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN, CONFIG_NOT_READY, PEER_UNREACHABLE, PEER_LOST,
+                    QUEUE_FULL ->
+                true;
+            default -> false;
+        };
+    }
+
+    private static boolean isUnknown(GaugehollowException e)
+    {
+        return e.code() == ResultCode.STORE_OUTCOME_UNKNOWN;
+    }
+
+    /** A request that a peer may have carried out is of unknown outcome; any other was not run. */
+    private static GaugehollowException asStoreTrouble(GaugehollowException e)
+    {
+        boolean unknown = e.code() == ResultCode.PEER_LOST || isUnknown(e);
+        ResultCode code = unknown ? ResultCode.STORE_OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
+        return new GaugehollowException(code, e.getMessage(), e);
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -17,6 +17,8 @@
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpExchange;
 import org.gaugehollow.net.HttpHandler;
 import org.gaugehollow.net.HttpReply;
@@ -25,6 +27,7 @@
 import org.gaugehollow.net.NetLoops;
 import org.gaugehollow.peer.PeerDirectory;
 import org.gaugehollow.peer.PeerServer;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.KeyFollower;
 import org.gaugehollow.platform.MonitoredStore;
@@ -87,7 +90,7 @@
          * @param intake what callers may ask for
          * @return what answers the callers' requests
          */
-        HttpHandler open(Supplier<CellConfig> config, JobIntake intake);
+        CallerService open(Supplier<CellConfig> config, JobIntake intake);
     }
 
     /**
@@ -115,9 +118,11 @@
                 new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), settings.statusSeconds(),
                 events);
         JobIntake intake = new JobIntake(store, events, metrics);
+        CallerService service = callerPort.open(config, intake);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
-                PeerAdvice.handler(platform.advice()));
-        this.callerServer = serve(settings.callerAddress(), callerPort.open(config, intake));
+                call -> answerPeer(call, service));
+        this.callerServer = serve(settings.callerAddress(),
+                new CallerRelay(service, registry::relayPeers, events, System::nanoTime));
         this.readinessServer = serve(settings.readinessAddress(), this::answerReadiness);
         this.metricsServer = serve(settings.metricsAddress(), this::answerMetrics);
         addGauges();
@@ -131,6 +136,17 @@
         return new HttpServer(loops, NetAddress.parse(address), LARGEST_BODY, events, handler);
     }
 
+    private Frame.Builder answerPeer(Frame call, CallerService service) throws InterruptedException
+    {
+        return switch (call.getBodyCase())
+        {
+            case ADVICE -> PeerAdvice.handle(call.getAdvice(), platform.advice());
+            case RELAY -> RelayPeer.handle(call.getRelay(), service);
+            default ->
+                throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
+        };
+    }
+
     private void addGauges()
     {
         metrics.gauge("gaugehollow_owner", "1 where this box owns the cell.",
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -145,7 +145,7 @@
             {
                 mayBeDone |= e.code() != ResultCode.STORE_UNAVAILABLE;
                 boolean late = deadlineNanos - System.nanoTime() < ANSWER_MARGIN_NANOS;
-                if (!mayBeDone || late)
+                if (!mayBeDone || late || store.isSilent())
                 {
                     ResultCode code = mayBeDone
                             ? ResultCode.STORE_OUTCOME_UNKNOWN
@@ -248,6 +248,7 @@
      */
     public int pending(QueueSpec queue) throws InterruptedException
     {
+        refuseWhileSilent(queue.name());
         Optional<StoredValue> stored = store.get(JobKeys.SUMMARY);
         if (stored.isEmpty())
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerAdvice.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerAdvice.java
@@ -6,14 +6,11 @@
 
 import java.util.List;
 
-import org.gaugehollow.peer.PeerHandler;
 import org.gaugehollow.peer.PeerLink;
 import org.gaugehollow.peer.generated.PeerProtocol.AdviceCall;
 import org.gaugehollow.peer.generated.PeerProtocol.AdviceReply;
 import org.gaugehollow.peer.generated.PeerProtocol.AdviceTicket;
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
-import org.gaugehollow.model.GaugehollowException;
-import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.worker.Advice;
 import org.gaugehollow.worker.AdvicePort;
 
@@ -42,21 +39,13 @@
                 advice.getValidMillis());
     }
 
-    /** Answers the calls of peers over this box's own line. */
-    static PeerHandler handler(AdvicePort own)
+    /** Answers a peer's call over this box's own line. */
+    static Frame.Builder handle(AdviceCall asked, AdvicePort own) throws InterruptedException
     {
-        return call ->
-        {
-            if (call.getBodyCase() != Frame.BodyCase.ADVICE)
-            {
-                throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
-            }
-            AdviceCall asked = call.getAdvice();
-            Advice advice = own.advise(asked.getStep(), asked.getWorkersList(), asked.getTimeoutMillis());
-            AdviceReply.Builder reply = AdviceReply.newBuilder().setValidMillis(advice.validMillis());
-            advice.tickets().forEach(ticket -> reply
-                    .addTickets(AdviceTicket.newBuilder().setWorker(ticket.worker()).setText(ticket.text())));
-            return Frame.newBuilder().setAdviceReply(reply);
-        };
+        Advice advice = own.advise(asked.getStep(), asked.getWorkersList(), asked.getTimeoutMillis());
+        AdviceReply.Builder reply = AdviceReply.newBuilder().setValidMillis(advice.validMillis());
+        advice.tickets().forEach(ticket -> reply
+                .addTickets(AdviceTicket.newBuilder().setWorker(ticket.worker()).setText(ticket.text())));
+        return Frame.newBuilder().setAdviceReply(reply);
     }
 }
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/RelayPeer.java
@@ -0,0 +1,56 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.peer.PeerLink;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.peer.generated.PeerProtocol.RelayCall;
+import org.gaugehollow.peer.generated.PeerProtocol.RelayHeader;
+import org.gaugehollow.peer.generated.PeerProtocol.RelayReply;
+
+import com.google.protobuf.ByteString;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Hands callers' requests to a peer, and answers those that peers hand to this box. */
+final class RelayPeer implements CallerRelay.Peer
+{
+    private static final int TIMEOUT_MILLIS = 800;
+
+    private final PeerLink link;
+
+    RelayPeer(PeerLink link)
+    {
+        this.link = link;
+    }
+
+    @Override
+    public HttpReply answer(HttpMessage request) throws InterruptedException
+    {
+        RelayCall.Builder call = RelayCall.newBuilder().setMethod(request.method()).setPath(request.path())
+                .setQuery(request.query()).setBody(ByteString.copyFrom(request.body()));
+        request.headers().forEach(header -> call
+                .addHeaders(RelayHeader.newBuilder().setName(header.getKey()).setValue(header.getValue())));
+        RelayReply reply = link.call(Frame.newBuilder().setRelay(call), TIMEOUT_MILLIS).getRelayReply();
+        return HttpReply.of(reply.getStatus(), reply.getContentType(), reply.getBody().toByteArray());
+    }
+
+    /** Answers a peer's call by this box's own service, never over another peer. */
+    static Frame.Builder handle(RelayCall call, CallerService own) throws InterruptedException
+    {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        call.getHeadersList().forEach(header -> headers.add(header.getName(), header.getValue()));
+        HttpMessage request = new HttpMessage(call.getMethod(), call.getPath(), call.getQuery(), headers,
+                call.getBody().toByteArray());
+        HttpReply reply = own.answer(request);
+        String type = reply.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        return Frame.newBuilder().setRelayReply(RelayReply.newBuilder().setStatus(reply.status())
+                .setContentType(type).setBody(ByteString.copyFrom(reply.body())));
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -68,6 +68,8 @@
     PROGRESS_DELAYED(518, Level.WARN, "Progress could not be written at once; ends stay open until it is."),
     TASK_MOVED(519, Level.INFO, "A run is stopped so that it goes on elsewhere; the text says why."),
     TASK_PACED(520, Level.INFO, "A task that fills was told to work at another share of its speed."),
+    CALL_RELAYED(521, Level.INFO,
+            "A caller's request was handed to a peer, because the store does not answer this box."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read anew."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write whose answer was lost was settled by reading."),
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -98,6 +98,16 @@
         assertThat(ResultCode.STORE_OUTCOME_UNKNOWN.httpStatus()).isEqualTo(504);
     }
 
+    @Test
+    void aWriteIsGivenUpAsUnknownOnceTheStoreIsKnownToBeSilent()
+    {
+        store.loseAnswers(1_000);
+        long begin = System.nanoTime();
+        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(10_000))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        assertThat(System.nanoTime() - begin).isLessThan(TimeUnit.MILLISECONDS.toNanos(3_000));
+    }
+
     @Test
     void aStoreThatIsDownRefusesAtOnceAndSaysWhenToComeBack()
     {
