Replace an owner that looks dead before its lease ends

Change: the other boxes keep a call open at the owner. If it ends or is not answered and most registered boxes find the same, or if the owner says that the store has not confirmed it for 750 ms while the store answers the others, the owner's key is taken over by compare-and-swap. Workers and store refuse the old owner, so a wrong suspicion costs one change and no more. The owner's lease is 1 s. A box that is cut off from the others never finds a majority. Ruled out: a shorter lease alone (the store takes 1 s at least); the word of a single box (two halves would take the cell from each other in turns).

The life that registered last counts now; an earlier life of the box itself is no peer.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.gaugehollow.event.EventLog;
@@ -14,6 +16,7 @@
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.peer.PeerLink;
 import org.gaugehollow.platform.KeyFollower;
 import org.gaugehollow.platform.PlatformStore;
 import org.gaugehollow.platform.StoreTransaction;
@@ -33,7 +36,12 @@
     private final PeerDirectory directory;
     private final AdviceLines lines;
     private final EventLog events;
-    private final Map<String, String> addresses = new ConcurrentHashMap<>();
+    private final Map<String, Registration> registrations = new ConcurrentHashMap<>();
+
+    /** Where a box is reached, and at which revision it registered. */
+    private record Registration(String address, long revision)
+    {
+    }
 
     BoxRegistry(String box, String peerAddress, PlatformStore store, PeerDirectory directory,
             AdviceLines lines, EventLog events)
@@ -78,29 +86,38 @@
     public void put(String key, byte[] value, long revision)
     {
         String peer = key.substring(JobKeys.BOXES.length());
-        if (peer.equals(box))
+        String address = new String(value, StandardCharsets.UTF_8);
+        if (peer.equals(box) || address.equals(peerAddress))
         {
             return;
         }
-        String address = new String(value, StandardCharsets.UTF_8);
-        if (!addresses.containsKey(peer))
+        if (!registrations.containsKey(peer) && !isEarlierLife(address, revision))
         {
             dropEarlierLives(address);
-            addresses.put(peer, address);
+            registrations.put(peer, new Registration(address, revision));
             events.record(EventType.PEER_CONNECTED, peer, "registered at " + address);
             lines.add(peer, new PeerAdvice(directory.link(address)));
         }
     }
 
+    /**
+     * Whether a later life of the box is known; the registration of one that died lapses only later.
+     */
+    private boolean isEarlierLife(String address, long revision)
+    {
+        return registrations.values().stream()
+                .anyMatch(known -> known.address().equals(address) && known.revision() > revision);
+    }
+
     /**
      * A box that starts again has a new id at the same address; the link to its life before is of no
      * use.
      */
     private void dropEarlierLives(String address)
     {
-        for (Map.Entry<String, String> entry : addresses.entrySet())
+        for (Map.Entry<String, Registration> entry : registrations.entrySet())
         {
-            if (entry.getValue().equals(address))
+            if (entry.getValue().address().equals(address))
             {
                 drop(entry.getKey(), "another life registered at " + address);
             }
@@ -109,12 +126,12 @@
 
     private void drop(String peer, String why)
     {
-        String address = addresses.remove(peer);
-        if (address != null)
+        Registration registration = registrations.remove(peer);
+        if (registration != null)
         {
             events.record(EventType.PEER_LOST, peer, why);
             lines.remove(peer);
-            directory.drop(address);
+            directory.drop(registration.address());
         }
     }
 
@@ -125,11 +142,24 @@
         drop(peer, "no longer registered at revision " + revision);
     }
 
+    /** The ids of the other registered boxes. */
+    Set<String> peers()
+    {
+        return Set.copyOf(registrations.keySet());
+    }
+
+    /** The link to a registered box. */
+    Optional<PeerLink> link(String peer)
+    {
+        return Optional.ofNullable(registrations.get(peer)).map(Registration::address).map(directory::link);
+    }
+
     /** The other registered boxes, as ways for callers' requests. */
     Map<String, CallerRelay.Peer> relayPeers()
     {
         Map<String, CallerRelay.Peer> peers = new HashMap<>();
-        addresses.forEach((peer, address) -> peers.put(peer, new RelayPeer(directory.link(address))));
+        registrations
+                .forEach((peer, known) -> peers.put(peer, new RelayPeer(directory.link(known.address()))));
         return peers;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -34,6 +34,7 @@
 import org.gaugehollow.schedule.AdviceLines;
 import org.gaugehollow.schedule.CellPlatform;
 import org.gaugehollow.schedule.OwnerElection;
+import org.gaugehollow.schedule.OwnerMonitor;
 import org.gaugehollow.supervise.Supervisor;
 
 /**
@@ -62,6 +63,7 @@
     private final Supervisor root;
     private final CellConfigKeeper config;
     private final BoxRegistry registry;
+    private final OwnerMonitor monitor;
     private final OwnerElection election;
     private final PeerDirectory directory;
     private final PeerServer peerServer;
@@ -114,7 +116,8 @@
         this.directory = new PeerDirectory(loops, events, metrics);
         AdviceLines lines = new AdviceLines(platform.advice(), events);
         this.registry = new BoxRegistry(id, settings.peerAddress(), store, directory, lines, events);
-        this.election = new OwnerElection(id, platform, config, lines,
+        this.monitor = new OwnerMonitor(new PeerOwnerProbe(registry), store::isSteady, System::nanoTime);
+        this.election = new OwnerElection(id, platform, config, monitor, lines,
                 new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), settings.statusSeconds(),
                 events);
         JobIntake intake = new JobIntake(store, events, metrics);
@@ -141,6 +144,7 @@
         return switch (call.getBodyCase())
         {
             case ADVICE -> PeerAdvice.handle(call.getAdvice(), platform.advice());
+            case OWNER -> PeerOwnerProbe.handle(call.getOwner(), id, election, monitor);
             case RELAY -> RelayPeer.handle(call.getRelay(), service);
             default ->
                 throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
@@ -0,0 +1,72 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.peer.PeerLink;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.peer.generated.PeerProtocol.OwnerCall;
+import org.gaugehollow.peer.generated.PeerProtocol.OwnerReply;
+import org.gaugehollow.schedule.OwnerElection;
+import org.gaugehollow.schedule.OwnerMonitor;
+import org.gaugehollow.schedule.OwnerProbe;
+
+/** Asks registered boxes about the owner over their links, and answers when they ask. */
+final class PeerOwnerProbe implements OwnerProbe
+{
+    private static final int SLACK_MILLIS = 450;
+
+    private final BoxRegistry registry;
+
+    PeerOwnerProbe(BoxRegistry registry)
+    {
+        this.registry = registry;
+    }
+
+    @Override
+    public Set<String> peers()
+    {
+        return registry.peers();
+    }
+
+    @Override
+    public Standing ask(String box, String owner, int waitMillis) throws InterruptedException
+    {
+        Optional<PeerLink> link = registry.link(box);
+        if (link.isEmpty())
+        {
+            return Standing.UNREACHED;
+        }
+        OwnerCall.Builder call = OwnerCall.newBuilder().setOwner(owner).setWaitMillis(waitMillis);
+        try
+        {
+            OwnerReply reply = link.get().call(Frame.newBuilder().setOwner(call), waitMillis + SLACK_MILLIS)
+                    .getOwnerReply();
+            return new Standing(true, reply.getIsOwner(), reply.getUnconfirmedMillis(), reply.getSilent());
+        }
+        catch (GaugehollowException e)
+        {
+            return Standing.UNREACHED;
+        }
+    }
+
+    /** Answers a peer's call about the owner. */
+    static Frame.Builder handle(OwnerCall call, String self, OwnerElection election, OwnerMonitor monitor)
+            throws InterruptedException
+    {
+        boolean owner = self.equals(call.getOwner()) && election.isOwner();
+        if (owner)
+        {
+            Thread.sleep(call.getWaitMillis());
+        }
+        return Frame.newBuilder()
+                .setOwnerReply(OwnerReply.newBuilder().setIsOwner(owner)
+                        .setUnconfirmedMillis(election.unconfirmedMillis())
+                        .setSilent(monitor.isSilent(call.getOwner())));
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -33,6 +33,8 @@
     OWNER_BEGAN(207, Level.INFO, "This box became the cell's owner; the text gives its fencing token."),
     OWNER_ENDED(208, Level.WARN, "This box is no longer the cell's owner; the text says why."),
     LEASE_NOT_RENEWED(209, Level.WARN, "The store did not confirm the owner's lease."),
+    OWNER_SUSPECTED(210, Level.WARN,
+            "The cell's owner looks dead or has lost the store; this box tries to take over."),
     MAP_CHANGED(300, Level.INFO, "This box changed the hall's map."),
     MAP_ADOPTED(301, Level.INFO, "This box adopted a newer map of its hall."),
     BOX_REMOVED(302, Level.WARN, "A box whose lease lapsed was taken out of the map."),
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/MonitoredStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/MonitoredStore.java
@@ -21,12 +21,14 @@
 {
     private static final int FAILURES = 2;
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long STEADY_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
     private final PlatformStore store;
     private final EventLog events;
     private final LongSupplier nanoTime;
     private int failures;
     private long answeredNanos;
+    private long failedNanos;
     private boolean silent;
 
     /**
@@ -40,6 +42,7 @@
         this.events = events;
         this.nanoTime = nanoTime;
         this.answeredNanos = nanoTime.getAsLong();
+        this.failedNanos = answeredNanos;
     }
 
     /** One call to the store. */
@@ -77,6 +80,7 @@
     private synchronized void failed(GaugehollowException e)
     {
         failures++;
+        failedNanos = nanoTime.getAsLong();
         boolean lasting = nanoTime.getAsLong() - answeredNanos > SILENCE_NANOS;
         if (!silent && failures >= FAILURES && lasting)
         {
@@ -92,6 +96,12 @@
         return silent;
     }
 
+    /** @return whether the store answers this box and no call has failed for a while */
+    public synchronized boolean isSteady()
+    {
+        return !silent && nanoTime.getAsLong() - failedNanos > STEADY_NANOS;
+    }
+
     @Override
     public Optional<StoredValue> get(String key) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.gaugehollow.event.EventLog;
@@ -18,6 +20,7 @@
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.PlatformStore;
 import org.gaugehollow.platform.StoreChange;
@@ -34,15 +37,18 @@
  */
 public final class OwnerElection implements SupervisedTask
 {
-    private static final int LEASE_MILLIS = 1_500;
+    private static final int LEASE_MILLIS = 1_000;
     private static final int RENEW_MILLIS = 300;
     private static final int RETRY_MILLIS = 100;
     private static final int POLL_MILLIS = 2_000;
+    private static final long NO_OWNER = 0;
+    private static final String TERM_SEPARATOR = "/";
     private static final int MOST_JITTER_MILLIS = 30;
 
     private final String box;
     private final CellPlatform platform;
     private final Supplier<CellConfig> config;
+    private final OwnerMonitor monitor;
     private final AdviceLines lines;
     private final WorkerScore score;
     private final Supervisor supervisor;
@@ -55,18 +61,21 @@
      * @param box this box's id
      * @param platform the platform
      * @param config the newest configuration
+     * @param monitor finds out early that an owner is dead
      * @param lines the boxes' lines to the advice service
      * @param score the placement policy
      * @param supervisor parent of the owner's tasks
      * @param retentionSeconds how long a job is shown after it is over, in seconds
      * @param events where terms are recorded
      */
-    public OwnerElection(String box, CellPlatform platform, Supplier<CellConfig> config, AdviceLines lines,
-            WorkerScore score, Supervisor supervisor, int retentionSeconds, EventLog events)
+    public OwnerElection(String box, CellPlatform platform, Supplier<CellConfig> config, OwnerMonitor monitor,
+            AdviceLines lines, WorkerScore score, Supervisor supervisor, int retentionSeconds,
+            EventLog events)
     {
         this.box = box;
         this.platform = platform;
         this.config = config;
+        this.monitor = monitor;
         this.lines = lines;
         this.score = score;
         this.supervisor = supervisor;
@@ -84,11 +93,11 @@
                 StoreListing owner = platform.store().list(JobKeys.OWNER);
                 if (!owner.values().isEmpty())
                 {
-                    awaitGone(owner.revision());
+                    awaitEnd(owner);
                 }
                 else if (config.get().version() > 0)
                 {
-                    tryToOwn();
+                    tryToOwn(NO_OWNER);
                 }
                 else
                 {
@@ -102,7 +111,34 @@
         }
     }
 
-    private void awaitGone(long revision) throws InterruptedException
+    /** Waits until the owner's key changes or is gone; takes it over if its owner looks dead before. */
+    private void awaitEnd(StoreListing listing) throws InterruptedException
+    {
+        StoredValue key = listing.values().getFirst();
+        CompletableFuture<Long> end = new CompletableFuture<>();
+        Thread change = OwnerTerm.inBackground("owner-change", () -> awaitChange(listing.revision(), end));
+        Thread suspicion = OwnerTerm.inBackground("owner-suspicion", () -> awaitSuspicion(key, end));
+        try
+        {
+            long suspected = end.get();
+            Thread.sleep(ThreadLocalRandom.current().nextInt(MOST_JITTER_MILLIS));
+            if (suspected != NO_OWNER && !resigned)
+            {
+                tryToOwn(suspected);
+            }
+        }
+        catch (ExecutionException e)
+        {
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE, e.getMessage(), e);
+        }
+        finally
+        {
+            change.interrupt();
+            suspicion.interrupt();
+        }
+    }
+
+    private void awaitChange(long revision, CompletableFuture<Long> end) throws InterruptedException
     {
         try (StoreWatch watch = platform.store().watch(JobKeys.OWNER, revision + 1))
         {
@@ -111,19 +147,37 @@
             {
                 changes = watch.poll(POLL_MILLIS);
             }
+            end.complete(NO_OWNER);
+        }
+        catch (GaugehollowException e)
+        {
+            end.completeExceptionally(e);
         }
-        Thread.sleep(ThreadLocalRandom.current().nextInt(MOST_JITTER_MILLIS));
     }
 
-    private void tryToOwn() throws InterruptedException
+    private void awaitSuspicion(StoredValue key, CompletableFuture<Long> end) throws InterruptedException
+    {
+        String owner = new String(key.value(), StandardCharsets.UTF_8).replaceFirst(TERM_SEPARATOR + ".*",
+                "");
+        String why = monitor.awaitSuspicion(owner);
+        events.record(EventType.OWNER_SUSPECTED, owner, "fence " + key.modRevision() + ": " + why);
+        end.complete(key.modRevision());
+    }
+
+    /**
+     * Tries to become the owner.
+     *
+     * @param replaced the revision of the key that is taken over, or {@link #NO_OWNER}
+     */
+    private void tryToOwn(long replaced) throws InterruptedException
     {
         PlatformStore store = platform.store();
         long storeLease = store.grantLease(LEASE_MILLIS);
-        byte[] term = (box + '/' + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
+        byte[] term = (box + TERM_SEPARATOR + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         Optional<Long> revision;
         try
         {
-            revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, 0)
+            revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, replaced)
                     .put(JobKeys.OWNER, term, storeLease).put(JobKeys.JOURNAL, term));
         }
         catch (GaugehollowException e)
@@ -222,6 +276,13 @@
         }
     }
 
+    /** @return how long ago the store confirmed this box's newest term, in milliseconds */
+    public long unconfirmedMillis()
+    {
+        OwnerLease lease = current;
+        return lease == null ? 0 : lease.unconfirmedMillis();
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
@@ -55,6 +55,12 @@
         return !isOver() && System.nanoTime() - contactNanos < LONGEST_SILENCE_NANOS;
     }
 
+    /** How long ago the store confirmed the term, in milliseconds. */
+    long unconfirmedMillis()
+    {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - contactNanos);
+    }
+
     boolean isOver()
     {
         return over.getCount() == 0;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -208,9 +208,9 @@
         void run() throws InterruptedException;
     }
 
-    static void inBackground(String name, Interruptible work)
+    static Thread inBackground(String name, Interruptible work)
     {
-        Thread.ofVirtual().name(name).start(() ->
+        return Thread.ofVirtual().name(name).start(() ->
         {
             try
             {
--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -53,6 +53,23 @@
         assertThat(directory.link("127.0.0.1:1")).isSameInstanceAs(link);
     }
 
+    @Test
+    void aLifeThatIsListedAfterALaterOneOfTheSameBoxIsNotTakenForIt()
+    {
+        registry.put(JobKeys.BOXES + "a~2", ADDRESS, 2);
+        registry.put(JobKeys.BOXES + "a~1", ADDRESS, 1);
+        assertThat(registry.peers()).containsExactly("a~2");
+        registry.removed(JobKeys.BOXES + "a~1", 3);
+        assertThat(registry.link("a~2")).isPresent();
+    }
+
+    @Test
+    void anEarlierLifeOfThisBoxIsNoPeer()
+    {
+        registry.put(JobKeys.BOXES + "self~0", "127.0.0.1:2".getBytes(StandardCharsets.UTF_8), 1);
+        assertThat(registry.peers()).isEmpty();
+    }
+
     @Test
     void theLinkToABoxThatIsGoneIsClosed()
     {
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -0,0 +1,100 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.supervise.Supervisor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Which box becomes the owner, and when one that looks dead is replaced. */
+class OwnerElectionTest
+{
+    private static final String OTHER = "bole-1";
+    private static final int CLOCK_SPEED = 20;
+
+    private final EventLog events = new EventLog("bole-2", new HybridClock(System::currentTimeMillis));
+    private final FakePlatform platform = new FakePlatform();
+    private final FakeOwnerProbe probe = new FakeOwnerProbe(OTHER, "bole-3", "bole-4");
+    private final Supervisor supervisor = new Supervisor("test", events);
+    private OwnerElection election;
+
+    @AfterEach
+    void stop()
+    {
+        supervisor.close();
+    }
+
+    private long ownedByOther() throws InterruptedException
+    {
+        long lease = platform.fakeStore().grantLease(60_000);
+        byte[] term = (OTHER + "/term").getBytes(StandardCharsets.UTF_8);
+        platform.store()
+                .commit(new StoreTransaction().put(JobKeys.OWNER, term, lease).put(JobKeys.JOURNAL, term));
+        return lease;
+    }
+
+    private void stand()
+    {
+        OwnerMonitor monitor = new OwnerMonitor(probe, () -> true, () -> System.nanoTime() * CLOCK_SPEED);
+        CellConfig config = new CellConfig(1, List.of());
+        election = new OwnerElection("bole-2", platform, () -> config, monitor,
+                new AdviceLines(platform.advice(), events), new WaitingFirstScore(0.5),
+                supervisor.child("owner"), 60, events);
+        supervisor.start("election", election);
+    }
+
+    private static boolean within(long millis, BooleanSupplier holds) throws InterruptedException
+    {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!holds.getAsBoolean() && System.nanoTime() < end)
+        {
+            Thread.sleep(10);
+        }
+        return holds.getAsBoolean();
+    }
+
+    private StoredValue ownerKey()
+    {
+        return platform.fakeStore().get(JobKeys.OWNER).orElseThrow();
+    }
+
+    @Test
+    void anOwnerThatMostBoxesTakeForDeadIsReplacedBeforeItsLeaseEnds() throws InterruptedException
+    {
+        ownedByOther();
+        long before = ownerKey().modRevision();
+        probe.saysOfOwner("bole-3", true);
+        probe.saysOfOwner("bole-4", true);
+        stand();
+        assertThat(within(3_000, () -> election.isOwner())).isTrue();
+        assertThat(ownerKey().modRevision()).isGreaterThan(before);
+        assertThat(new String(ownerKey().value(), StandardCharsets.UTF_8)).startsWith("bole-2/");
+    }
+
+    @Test
+    void anOwnerThatAnswersStaysUntilItsKeyIsGone() throws InterruptedException
+    {
+        long lease = ownedByOther();
+        probe.owns(OTHER, 100);
+        stand();
+        assertThat(within(800, () -> election.isOwner())).isFalse();
+        platform.fakeStore().revokeLease(lease);
+        assertThat(within(3_000, () -> election.isOwner())).isTrue();
+    }
+}
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerMonitorTest.java
@@ -0,0 +1,131 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** When a box may take an owner for dead before the owner's lease ends. */
+class OwnerMonitorTest
+{
+    private static final String OWNER = "bole-1";
+    private static final long PAST_GRACE = TimeUnit.SECONDS.toNanos(4);
+
+    private final FakeOwnerProbe probe = new FakeOwnerProbe(OWNER, "bole-2", "bole-3", "bole-4");
+    private final AtomicLong clock = new AtomicLong();
+    private volatile boolean steady = true;
+    private final OwnerMonitor monitor = new OwnerMonitor(probe, () -> steady, clock::get);
+    private final CompletableFuture<String> suspicion = new CompletableFuture<>();
+    private Thread watcher;
+
+    @AfterEach
+    void stop()
+    {
+        watcher.interrupt();
+    }
+
+    private void watch()
+    {
+        watcher = OwnerTerm.inBackground("test", () -> suspicion.complete(monitor.awaitSuspicion(OWNER)));
+    }
+
+    private boolean isSuspectedWithin(long millis) throws Exception
+    {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!suspicion.isDone() && System.nanoTime() < end)
+        {
+            Thread.sleep(5);
+        }
+        return suspicion.isDone();
+    }
+
+    private void watchForSomeTimeWhileItOwns() throws Exception
+    {
+        probe.owns(OWNER, 100);
+        watch();
+        assertThat(isSuspectedWithin(100)).isFalse();
+        clock.addAndGet(PAST_GRACE);
+        assertThat(isSuspectedWithin(100)).isFalse();
+    }
+
+    @Test
+    void anOwnerThatMostBoxesDoNotHearIsSuspected() throws Exception
+    {
+        watchForSomeTimeWhileItOwns();
+        probe.saysOfOwner("bole-2", true);
+        probe.saysOfOwner("bole-3", true);
+        probe.saysOfOwner("bole-4", false);
+        probe.saysOfOwner(OWNER, false);
+        assertThat(isSuspectedWithin(2_000)).isTrue();
+    }
+
+    @Test
+    void aBoxThatIsCutOffFromAllOthersSuspectsNobody() throws Exception
+    {
+        watch();
+        clock.addAndGet(PAST_GRACE);
+        assertThat(isSuspectedWithin(500)).isFalse();
+        assertThat(monitor.isSilent(OWNER)).isTrue();
+    }
+
+    @Test
+    void anOwnerThatHalfOfTheBoxesHearIsNotSuspected() throws Exception
+    {
+        watch();
+        probe.saysOfOwner("bole-2", true);
+        probe.saysOfOwner("bole-3", false);
+        probe.saysOfOwner("bole-4", false);
+        clock.addAndGet(PAST_GRACE);
+        assertThat(isSuspectedWithin(500)).isFalse();
+    }
+
+    @Test
+    void anOwnerThatTheStoreDoesNotConfirmIsSuspected() throws Exception
+    {
+        watchForSomeTimeWhileItOwns();
+        probe.owns(OWNER, 800);
+        assertThat(isSuspectedWithin(1_000)).isTrue();
+    }
+
+    @Test
+    void anOwnerIsNotSuspectedForAStoreThatFailedThisBoxToo() throws Exception
+    {
+        watchForSomeTimeWhileItOwns();
+        steady = false;
+        probe.owns(OWNER, 4_000);
+        assertThat(isSuspectedWithin(400)).isFalse();
+    }
+
+    @Test
+    void anOwnerThatIsNotRegisteredIsNotTakenForSilent() throws Exception
+    {
+        FakeOwnerProbe others = new FakeOwnerProbe("bole-2", "bole-3");
+        others.saysOfOwner("bole-2", true);
+        others.saysOfOwner("bole-3", true);
+        OwnerMonitor unknowing = new OwnerMonitor(others, () -> true, clock::get);
+        watcher = OwnerTerm.inBackground("test", () -> suspicion.complete(unknowing.awaitSuspicion(OWNER)));
+        clock.addAndGet(PAST_GRACE);
+        assertThat(isSuspectedWithin(400)).isFalse();
+        assertThat(unknowing.isSilent(OWNER)).isFalse();
+    }
+
+    @Test
+    void aNewOwnerIsLeftAloneForAWhile() throws Exception
+    {
+        watch();
+        probe.saysOfOwner("bole-2", true);
+        probe.saysOfOwner("bole-3", true);
+        probe.saysOfOwner("bole-4", true);
+        assertThat(isSuspectedWithin(400)).isFalse();
+        clock.addAndGet(PAST_GRACE);
+        assertThat(isSuspectedWithin(1_000)).isTrue();
+    }
+}
