Find slow workers and move what would take long there

Change: the present speed of runs is compared within their step, and a worker is slow if runs of two or more steps are 2.5 times slower there and none was in time lately. It is avoided for 4 s, and runs whose rest would take longer than a whole run elsewhere move.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -311,7 +311,7 @@
         saveCheckpoint(task, end.checkpoint());
         if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
         {
-            done(task, slot);
+            done(task, slot, nanoTime.getAsLong());
         }
         else
         {
@@ -328,7 +328,7 @@
         }
     }
 
-    private static void done(Task task, WorkerSlot slot)
+    private static void done(Task task, WorkerSlot slot, long nowNanos)
     {
         slot.health().succeeded();
         if (task.step().spec().gang())
@@ -336,7 +336,7 @@
             task.step().tasks().forEach(Task::done);
             return;
         }
-        task.done();
+        task.done(nowNanos);
     }
 
     private void failed(Task task, WorkerSlot slot, int run, Effects effects)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -58,6 +58,7 @@
     private final Planner planner;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
+    private final SlowWorkerGuard slowWorkerGuard;
     private final Map<String, WorkerSession> sessions = new ConcurrentHashMap<>();
     private final Semaphore wakeUps = new Semaphore(0);
     private Map<String, JobProgress> recorded = Map.of();
@@ -77,6 +78,7 @@
         this.planner = new Planner(ledger, desk, score);
         this.evacuation = new Evacuation(ledger);
         this.stallGuard = new StallGuard(ledger);
+        this.slowWorkerGuard = new SlowWorkerGuard(ledger);
     }
 
     /** Reads what earlier owners recorded and begins to work. */
@@ -141,10 +143,12 @@
         Planner.Plan plan;
         Effects moves;
         Effects stalls;
+        Effects slow;
         synchronized (ledger)
         {
             moves = evacuation.evacuate(System.nanoTime());
             stalls = stallGuard.check(System.nanoTime());
+            slow = slowWorkerGuard.check(System.nanoTime());
             CellConfig newest = config.get();
             if (newest.version() > ledger.config().version())
             {
@@ -156,8 +160,10 @@
         }
         logMoves(moves, "its worker leaves");
         logMoves(stalls, "it stands still");
+        logMoves(slow, "its worker is slow");
         apply(moves);
         apply(stalls);
+        apply(slow);
         Set<Job> begun = new LinkedHashSet<>();
         plan.starts().forEach(start -> begun.add(start.task().step().job()));
         journal.mark(begun, () -> plan.starts().forEach(this::send));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.concurrent.TimeUnit;
+
 import org.gaugehollow.job.JobProgress.TaskProgress;
 
 /** One task in the owner's memory. Guarded by the ledger's lock. */
@@ -28,6 +30,11 @@
     static final long UNSETTLED = Long.MAX_VALUE;
 
     private static final int FULL_PACE = 100;
+    private static final int WHOLE = 100;
+    /** Speed is taken over at least this time. */
+    private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** What counts as done where the looks show no progress. */
+    private static final double LEAST_PERCENT = 0.5;
 
     private final Step step;
     private final int index;
@@ -40,6 +47,10 @@
     private long startedNanos;
     private int percent;
     private long movedNanos;
+    private long observedNanos;
+    private int samplePercent;
+    private long sampleNanos;
+    private long ranMillis;
     private int pace = FULL_PACE;
     private long pacedNanos;
     private double gauge;
@@ -83,6 +94,9 @@
         settledNanos = UNSETTLED;
         startedNanos = nowNanos;
         movedNanos = nowNanos;
+        observedNanos = nowNanos;
+        samplePercent = 0;
+        sampleNanos = nowNanos;
         percent = 0;
         pace = FULL_PACE;
         pacedNanos = nowNanos;
@@ -98,6 +112,7 @@
             phase = Phase.RUNNING;
             startedNanos = nowNanos;
             movedNanos = nowNanos;
+            sampleNanos = nowNanos;
         }
     }
 
@@ -135,6 +150,13 @@
     }
 
     /** A run ended well. */
+    void done(long nowNanos)
+    {
+        ranMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
+        done();
+    }
+
+    /** A run ended well, or the one that stands for it. */
     void done()
     {
         leaveWorker();
@@ -155,12 +177,18 @@
     /** Takes note of what a look at the worker shows. */
     void observe(int newPercent, double newGauge, long nowNanos)
     {
+        if (observedNanos - sampleNanos >= SAMPLE_NANOS)
+        {
+            samplePercent = percent;
+            sampleNanos = observedNanos;
+        }
         if (newPercent != percent)
         {
             percent = newPercent;
             movedNanos = nowNanos;
         }
         gauge = newGauge;
+        observedNanos = nowNanos;
     }
 
     /** A run of it failed. */
@@ -255,6 +283,23 @@
         return startedNanos;
     }
 
+    /**
+     * How long a whole run takes at the speed that the newest looks show, in milliseconds; 0 if they
+     * show too little.
+     */
+    double millisAtPresentSpeed()
+    {
+        double millis = TimeUnit.NANOSECONDS.toMillis(observedNanos - sampleNanos);
+        double done = Math.max(percent - samplePercent, LEAST_PERCENT);
+        return observedNanos - sampleNanos >= SAMPLE_NANOS ? millis * WHOLE / done : 0;
+    }
+
+    /** How long the run that ended well took, in milliseconds; 0 if it is not known. */
+    long ranMillis()
+    {
+        return ranMillis;
+    }
+
     long movedNanos()
     {
         return movedNanos;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerHealth.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerHealth.java
@@ -17,10 +17,12 @@
     private static final int SUSPECT_AFTER = 2;
     private static final long REFUSED_MILLIS = 500;
     private static final long SUSPECT_MILLIS = 4_000;
+    private static final long IN_TIME_MILLIS = 700;
 
     private final Set<String> failedJobs = new HashSet<>();
     private boolean proven;
     private long avoidUntilNanos = Long.MIN_VALUE;
+    private long inTimeUntilNanos = Long.MIN_VALUE;
 
     /** A run ended well. */
     void succeeded()
@@ -54,6 +56,24 @@
         avoidUntilNanos = nowNanos + SUSPECT_MILLIS * NANOS_PER_MILLI;
     }
 
+    /** A run there takes about as long as others of its step take elsewhere. */
+    void inTime(long nowNanos)
+    {
+        inTimeUntilNanos = nowNanos + IN_TIME_MILLIS * NANOS_PER_MILLI;
+    }
+
+    boolean wasInTime(long nowNanos)
+    {
+        return nowNanos < inTimeUntilNanos;
+    }
+
+    /** Everything takes much longer there than elsewhere. */
+    void slow(long nowNanos)
+    {
+        proven = false;
+        avoidUntilNanos = nowNanos + SUSPECT_MILLIS * NANOS_PER_MILLI;
+    }
+
     boolean isAvoided(long nowNanos)
     {
         return nowNanos < avoidUntilNanos;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -35,7 +35,7 @@
     /** In a look: leave the lease as it is. */
     private static final long LEAVE_LEASE = 0;
 
-    private static final int BUSY_WAIT_MILLIS = 1_000;
+    private static final int BUSY_WAIT_MILLIS = 700;
     private static final int IDLE_WAIT_MILLIS = 2_000;
     private static final int SHARED_WAIT_MILLIS = 500;
     private static final int HOLD_SLACK_MILLIS = 400;
