--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -10,6 +10,7 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobRecord;
@@ -109,7 +110,7 @@
             throws InterruptedException
     {
         refuseWhileSilent(id);
-        byte[] record = Json.write(new JobRecord(id, queue, job, System.currentTimeMillis()));
+        byte[] record = JobCodec.writeRecord(new JobRecord(id, queue, job, System.currentTimeMillis()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
         boolean[] fresh = new boolean[1];
@@ -201,8 +202,7 @@
         Optional<StoredValue> stored = store.get(JobKeys.progress(id));
         if (stored.isPresent())
         {
-            JobProgress progress = Json.read(stored.get().value(), JobProgress.class,
-                    ResultCode.STORE_BAD_ANSWER);
+            JobProgress progress = JobCodec.readProgress(stored.get().value());
             checkQueue(queue, id, progress.queue(), stored.get().modRevision());
             return progress.state();
         }
@@ -233,7 +233,7 @@
         {
             if (value.key().equals(JobKeys.job(id)))
             {
-                JobRecord record = Json.read(value.value(), JobRecord.class, ResultCode.STORE_BAD_ANSWER);
+                JobRecord record = JobCodec.readRecord(value.value());
                 checkQueue(queue, id, record.queue().name(), value.modRevision());
                 return;
             }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -66,12 +66,6 @@
         }
     }
 
-    /** When the next repetition is due; far away if all have begun. */
-    long nextDueMillis()
-    {
-        return rounds.size() < record.job().rounds() ? dueMillis(rounds.size()) : Long.MAX_VALUE;
-    }
-
     private long dueMillis(int round)
     {
         return record.job().repeatCount() == 0
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -13,6 +13,7 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -16,6 +16,7 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.model.GaugehollowException;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -243,11 +243,6 @@
         return step;
     }
 
-    int index()
-    {
-        return index;
-    }
-
     Phase phase()
     {
         return phase;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -13,6 +13,7 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.GaugehollowException;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -14,6 +14,7 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
