--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/StandinStore.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/StandinStore.java
@@ -48,12 +48,18 @@
         this.nanoTime = nanoTime;
     }
 
-    synchronized long revision()
+    /** @return the revision of the newest write */
+    public synchronized long revision()
     {
         return revision;
     }
 
-    synchronized List<StoredValue> range(String from, Optional<String> end)
+    /**
+     * @param from the first key
+     * @param end the key after the last one; only the first key is read if it is absent
+     * @return the keys' values
+     */
+    public synchronized List<StoredValue> range(String from, Optional<String> end)
     {
         endLapsedLeases();
         List<StoredValue> values = new ArrayList<>();
@@ -63,13 +69,25 @@
         return values;
     }
 
-    /** A write of a transaction; null removes the key. */
-    record Write(String key, byte[] value, long lease)
+    /**
+     * A write of a transaction.
+     *
+     * @param key the key
+     * @param value its value; null removes the key
+     * @param lease the lease it is tied to, or 0
+     */
+    public record Write(String key, byte[] value, long lease)
     {
     }
 
-    /** Applies all writes at one revision if every key has the revision given for it. */
-    synchronized boolean commit(Map<String, Long> required, List<Write> writes)
+    /**
+     * Applies all writes at one revision if every key has the revision given for it.
+     *
+     * @param required the revision that each key must have, 0 where it must not be there
+     * @param writes what is written
+     * @return whether it was applied
+     */
+    public synchronized boolean commit(Map<String, Long> required, List<Write> writes)
     {
         endLapsedLeases();
         for (Map.Entry<String, Long> condition : required.entrySet())
@@ -116,7 +134,11 @@
         }
     }
 
-    synchronized long grant(long seconds)
+    /**
+     * @param seconds how long the lease lasts without a renewal
+     * @return the new lease
+     */
+    public synchronized long grant(long seconds)
     {
         long ttl = TimeUnit.SECONDS.toNanos(seconds);
         lastLease++;
@@ -124,8 +146,11 @@
         return lastLease;
     }
 
-    /** Returns the seconds granted, or 0 for a lease that has ended. */
-    synchronized long renew(long id)
+    /**
+     * @param id a lease
+     * @return the seconds granted, or 0 for a lease that has ended
+     */
+    public synchronized long renew(long id)
     {
         endLapsedLeases();
         Lease lease = leases.get(id);
@@ -137,7 +162,8 @@
         return Math.max(1, TimeUnit.NANOSECONDS.toSeconds(lease.ttlNanos));
     }
 
-    synchronized void revoke(long id)
+    /** @param id a lease that ends now */
+    public synchronized void revoke(long id)
     {
         if (leases.remove(id) != null)
         {
@@ -171,10 +197,17 @@
     }
 
     /**
-     * Waits for changes under a prefix from a revision on; nothing at all if they are no longer held.
+     * Waits for changes of some keys.
+     *
+     * @param from the first key
+     * @param end the key after the last one
+     * @param fromRevision the first revision to tell of
+     * @param millis how long to wait at most
+     * @return the changes, or nothing at all if they are no longer held
+     * @throws InterruptedException if the process stops
      */
-    synchronized Optional<List<StoreChange>> await(String from, String end, long fromRevision, long millis)
-            throws InterruptedException
+    public synchronized Optional<List<StoreChange>> await(String from, String end, long fromRevision,
+            long millis) throws InterruptedException
     {
         long until = nanoTime.getAsLong() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (true)
