Ask for rights when a request is ready to be sent

Cause, by the logs of that cell: the next owner claimed the worker with 0 tasks running 3 ms after the frozen box woke; a start checked before the freeze was sent after it. Rights were checked before a connection was taken, so the gap lasted as long as a connection takes to open. Ruled out: vouchers by numbered answers (rights are bound to the monotonic clock and to when pings were sent; both lay before the freeze).

Change: the check is made when the connection is there and the message is made. The gap between check and write remains without fencing, as docs/PROOFS.md says.

--- a/gaugehollow/src/main/java/org/gaugehollow/entry/OwnedUpstream.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/OwnedUpstream.java
@@ -118,12 +118,7 @@
         boolean keepRoom = false;
         try
         {
-            if (!rights.valid())
-            {
-                throw new GaugehollowException(ResultCode.NO_RIGHTS,
-                        "this box may not use " + worker.id() + " now");
-            }
-            HttpReply reply = client.run(request, epoch, deadlineNanos);
+            HttpReply reply = client.run(request, epoch, deadlineNanos, rights::valid);
             health.answered();
             return reply;
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
@@ -6,6 +6,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -69,17 +70,27 @@
      * @param request the request
      * @param epoch the fencing token
      * @param deadlineNanos when to give up, on {@link System#nanoTime}
+     * @param maySend asked when all is ready to be sent, since a connection may take a while to open
      * @return the upstream's answer
      * @throws InterruptedException if the process stops
-     * @throws GaugehollowException with a code whose outcome says whether the request may have run
+     * @throws GaugehollowException with a code whose outcome says whether the request may have run;
+     *             {@code NO_RIGHTS} if it may not be sent
      */
-    public HttpReply run(UpstreamRequest request, long epoch, long deadlineNanos) throws InterruptedException
+    public HttpReply run(UpstreamRequest request, long epoch, long deadlineNanos, BooleanSupplier maySend)
+            throws InterruptedException
     {
         HttpConnection connection = connections.take(connectMillis(deadlineNanos));
         boolean keep = false;
         try
         {
-            HttpReply reply = connection.exchange(messageOf(request, epoch), deadlineNanos, LARGEST_ANSWER);
+            HttpMessage message = messageOf(request, epoch);
+            if (!maySend.getAsBoolean())
+            {
+                keep = true;
+                throw new GaugehollowException(ResultCode.NO_RIGHTS,
+                        "this box may not use " + worker + " now");
+            }
+            HttpReply reply = connection.exchange(message, deadlineNanos, LARGEST_ANSWER);
             if (isRepetition(connection, request, reply))
             {
                 reply = connection.awaitAnswer(deadlineNanos, LARGEST_ANSWER);
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/upstream/UpstreamClientTest.java
@@ -0,0 +1,81 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.upstream;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.NetLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Whether a request may be sent is asked as late as can be. */
+class UpstreamClientTest
+{
+    private static final int QUIET_MILLIS = 300;
+    private static final UpstreamRequest REQUEST = new UpstreamRequest("task-1", "team", "", "/run",
+            new Amounts(1, 0, 0, 0), "text/plain", new byte[0]);
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final NetLoops loops = new NetLoops(Optional.empty());
+
+    @AfterEach
+    void stop()
+    {
+        loops.close();
+    }
+
+    private static Optional<Socket> accepted(ServerSocket listener)
+    {
+        try
+        {
+            return Optional.of(listener.accept());
+        }
+        catch (IOException e)
+        {
+            return Optional.empty();
+        }
+    }
+
+    @Test
+    void rightsThatEndWhileTheConnectionOpensKeepTheRequestBack() throws IOException
+    {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                UpstreamClient client = new UpstreamClient(loops, "w1",
+                        new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()), events))
+        {
+            listener.setSoTimeout(QUIET_MILLIS);
+            Optional<?>[] connection = new Optional<?>[1];
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+            GaugehollowException refused = assertThrows(GaugehollowException.class,
+                    () -> client.run(REQUEST, 1, deadline, () ->
+                    {
+                        connection[0] = accepted(listener);
+                        return false;
+                    }));
+            assertThat(refused.code()).isEqualTo(ResultCode.NO_RIGHTS);
+            assertThat(connection[0].isPresent()).isTrue();
+            try (Socket socket = (Socket) connection[0].get())
+            {
+                socket.setSoTimeout(QUIET_MILLIS);
+                assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
+            }
+        }
+    }
+}
