Ask for rights directly before the write; answer callers that are still sending too much

WholePathTest.badInput...: 413 was expected, the caller saw a reset. Cause: the connection was closed while a body over the limit still arrived; closing with unread bytes resets it, and the answer is lost. Now the rest is read and dropped for one second.

HttpServerTest.aCallerThatIsStillSending... failed without it (broken pipe).

--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpBodyLimit.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpBodyLimit.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.net;
 
+import java.util.concurrent.TimeUnit;
+
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 
@@ -18,10 +20,13 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /** Gathers whole requests and refuses bodies over the limit with a coded answer. */
 final class HttpBodyLimit extends HttpObjectAggregator
 {
+    private static final long LINGER_MILLIS = 1_000;
+
     private final int maxBody;
 
     HttpBodyLimit(int maxBody)
@@ -41,6 +46,18 @@
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpReply.JSON_TYPE);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        ctx.writeAndFlush(response).addListener(sent -> closeLater(ctx));
+    }
+
+    /**
+     * What still arrives of the body is read and dropped for a while: closing with unread bytes would
+     * reset the connection, and the caller would lose the answer.
+     */
+    private static void closeLater(ChannelHandlerContext ctx)
+    {
+        ScheduledFuture<?> closing = ctx.executor().schedule(
+                () -> ctx.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE).isDone(), LINGER_MILLIS,
+                TimeUnit.MILLISECONDS);
+        ctx.channel().closeFuture().addListener(closed -> closing.cancel(false));
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -6,9 +6,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
@@ -33,6 +35,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 
 /**
  * A client connection that carries one request at a time. After any failure it is closed and never
@@ -138,6 +141,24 @@
         return awaitAnswer(deadlineNanos, maxBody);
     }
 
+    /**
+     * Sends a request unless it may not be sent any more, and waits for the whole answer.
+     *
+     * @param maySend asked directly before the request is written, on the event loop; must not block
+     * @param request the request
+     * @param deadlineNanos when to give up, on {@link System#nanoTime}
+     * @param maxBody the largest answer taken
+     * @return the whole answer
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code NO_RIGHTS} if it was kept back, or as with {@link #exchange}
+     */
+    public HttpReply exchangeIf(BooleanSupplier maySend, HttpMessage request, long deadlineNanos, int maxBody)
+            throws InterruptedException
+    {
+        sendIf(maySend, request);
+        return awaitAnswer(deadlineNanos, maxBody);
+    }
+
     /**
      * Waits for another whole answer on this connection, where the one before proved to be a
      * repetition.
@@ -231,6 +252,33 @@
     }
 
     private void send(HttpMessage request) throws InterruptedException
+    {
+        awaitWritten(channel.writeAndFlush(begin(request)));
+    }
+
+    /** On the event loop nothing comes between the question and the write. */
+    private void sendIf(BooleanSupplier maySend, HttpMessage request) throws InterruptedException
+    {
+        FullHttpRequest message = begin(request);
+        Future<Optional<ChannelFuture>> asked = channel.eventLoop()
+                .submit(() -> maySend.getAsBoolean()
+                        ? Optional.of(channel.writeAndFlush(message))
+                        : Optional.<ChannelFuture>empty())
+                .await();
+        if (!asked.isSuccess())
+        {
+            throw failed(ResultCode.UPSTREAM_REFUSED, "the connection to " + address + " has ended");
+        }
+        if (asked.getNow().isEmpty())
+        {
+            message.release();
+            busy = false;
+            throw new GaugehollowException(ResultCode.NO_RIGHTS, address + " may not be used now");
+        }
+        awaitWritten(asked.getNow().get());
+    }
+
+    private FullHttpRequest begin(HttpMessage request)
     {
         if (!isReusable())
         {
@@ -245,7 +293,12 @@
         message.headers().set(request.headers());
         message.headers().set(HttpHeaderNames.HOST, address);
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        if (!channel.writeAndFlush(message).await().isSuccess())
+        return message;
+    }
+
+    private void awaitWritten(ChannelFuture written) throws InterruptedException
+    {
+        if (!written.await().isSuccess())
         {
             throw failed(ResultCode.OUTCOME_UNKNOWN, "the connection ended while the request was sent");
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/upstream/UpstreamClient.java
@@ -70,7 +70,7 @@
      * @param request the request
      * @param epoch the fencing token
      * @param deadlineNanos when to give up, on {@link System#nanoTime}
-     * @param maySend asked when all is ready to be sent, since a connection may take a while to open
+     * @param maySend asked directly before the request is written; must not block
      * @return the upstream's answer
      * @throws InterruptedException if the process stops
      * @throws GaugehollowException with a code whose outcome says whether the request may have run;
@@ -83,14 +83,8 @@
         boolean keep = false;
         try
         {
-            HttpMessage message = messageOf(request, epoch);
-            if (!maySend.getAsBoolean())
-            {
-                keep = true;
-                throw new GaugehollowException(ResultCode.NO_RIGHTS,
-                        "this box may not use " + worker + " now");
-            }
-            HttpReply reply = connection.exchange(message, deadlineNanos, LARGEST_ANSWER);
+            HttpReply reply = connection.exchangeIf(maySend, messageOf(request, epoch), deadlineNanos,
+                    LARGEST_ANSWER);
             if (isRepetition(connection, request, reply))
             {
                 reply = connection.awaitAnswer(deadlineNanos, LARGEST_ANSWER);
--- a/gaugehollow/src/test/java/org/gaugehollow/net/HttpServerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/net/HttpServerTest.java
@@ -100,6 +100,22 @@
                 .contains("2004");
     }
 
+    @Test
+    void aCallerThatIsStillSendingABodyOverTheLimitGetsTheAnswer() throws Exception
+    {
+        try (Socket socket = new Socket())
+        {
+            socket.setSoTimeout(SOCKET_MILLIS);
+            socket.connect(server.address());
+            String head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(200);
+            socket.getOutputStream().write(new byte[2_000_000]);
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer).contains("2004");
+        }
+    }
+
     @Test
     void aFaultInsideShowsNothingOfItselfToTheCaller() throws Exception
     {
