Tests: a cell that does not start ends its processes

Cause: a cell whose start failed an hour before was never given to a test, so nobody closed it, and its processes held the addresses of the cell of the same number (seen in the list of processes).

--- a/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
+++ b/gaugehollow-daemon/src/test/java/org/gaugehollow/daemon/TestCell.java
@@ -102,23 +102,37 @@
     static TestCell started(CellOptions options) throws InterruptedException
     {
         TestCell cell = new TestCell(options);
+        try
+        {
+            cell.startAll();
+            return cell;
+        }
+        catch (RuntimeException | AssertionError | InterruptedException e)
+        {
+            // no test gets this cell, so nobody else would end its processes
+            cell.close();
+            throw e;
+        }
+    }
+
+    private void startAll() throws InterruptedException
+    {
         for (String hall : options.halls())
         {
             for (int i = 1; i <= options.workersPerHall(); i++)
             {
-                cell.startWorker(hall + "-w" + i, hall);
+                startWorker(hall + "-w" + i, hall);
             }
         }
         for (String hall : options.halls())
         {
             for (int i = 1; i <= options.boxesPerHall(); i++)
             {
-                cell.startBox(hall + '-' + i, hall);
+                startBox(hall + '-' + i, hall);
             }
         }
-        cell.awaitWhole();
-        cell.applyResources();
-        return cell;
+        awaitWhole();
+        applyResources();
     }
 
     TestBox startBox(String name, String hall)
