Large urgent tasks stop small less urgent runs and keep the room

Change: a task that fits nowhere stops less urgent runs whose jobs have 2 s to spare and of which little work is lost, and its room is kept for 1.5 s; tickets of waiting steps are renewed before they end, so that room is not idle for a call of 0.5 s; within a queue, jobs that surely cannot meet their objective any more go after those that can. Tests: PreemptionTest; it does not compile without the change, so it did not run before it.

--- a/gaugehollow/src/main/java/org/gaugehollow/model/Amounts.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/Amounts.java
@@ -46,6 +46,15 @@
                 accelerators - other.accelerators);
     }
 
+    /**
+     * @param count how many times, not negative
+     * @return that many times the amounts
+     */
+    public Amounts times(int count)
+    {
+        return new Amounts(slots * count, cpuMillis * count, memoryMib * count, accelerators * count);
+    }
+
     /**
      * @param demand what a task needs
      * @return whether all of it is here
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -39,6 +39,8 @@
         private final Set<String> asked = new HashSet<>();
         private boolean asking;
         private long notBeforeNanos = Long.MIN_VALUE;
+        /** When the newest tickets end. */
+        private long endNanos = System.nanoTime();
     }
 
     private final Ledger ledger;
@@ -69,6 +71,27 @@
         return advice != null && advice.asked.contains(slot.id()) && !advice.healthy.containsKey(slot.id());
     }
 
+    @Override
+    public boolean isAllowed(Step step, WorkerSlot slot)
+    {
+        StepAdvice advice = steps.get(step.name());
+        boolean free = step.job().queue().adviceIfNeeded().isEmpty();
+        return free || advice != null && advice.healthy.containsKey(slot.id());
+    }
+
+    @Override
+    public boolean isFresh(Step step)
+    {
+        StepAdvice advice = steps.get(step.name());
+        if (advice == null)
+        {
+            return false;
+        }
+        double callMillis = step.job().queue().adviceIfNeeded().orElseThrow()
+                .expectedMillis(advice.healthy.size());
+        return advice.endNanos - System.nanoTime() > (long) (callMillis * NANOS_PER_MILLI);
+    }
+
     /** A worker turned a ticket down. */
     void drop(Step step, WorkerSlot slot)
     {
@@ -161,6 +184,7 @@
         advice.asked.addAll(workers);
         long valid = answer.get().validMillis() > 0 ? answer.get().validMillis() : spec.validMillis();
         long end = now + (valid - MARGIN_MILLIS) * NANOS_PER_MILLI;
+        advice.endNanos = end;
         answer.get().tickets()
                 .forEach(ticket -> advice.healthy.put(ticket.worker(), new HeldTicket(ticket.text(), end)));
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Evacuation.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Evacuation.java
@@ -52,19 +52,6 @@
             return false;
         }
         long left = remaining - (nowNanos - slot.listedNanos()) / NANOS_PER_MILLI;
-        return millisToEnd(task, nowNanos) > left;
-    }
-
-    /**
-     * How long the task still runs if it goes on as it did; the estimate where it has not moved yet.
-     */
-    private static long millisToEnd(Task task, long nowNanos)
-    {
-        long ran = (nowNanos - task.startedNanos()) / NANOS_PER_MILLI;
-        if (task.percent() <= 0)
-        {
-            return Math.max(0, task.step().spec().estimateMillis() - ran);
-        }
-        return ran * (Task.WHOLE - task.percent()) / task.percent();
+        return task.millisToEnd(nowNanos) > left;
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
@@ -20,11 +21,16 @@
 {
     /** A job that takes more than this many times its objective is of no worth any more. */
     private static final int LATE_FACTOR = 3;
+    /** A step's chain of work holds one call for advice on so many workers, as the users count it. */
+    private static final int USUAL_WORKERS = 30;
+    /** Room for estimates that are too low. */
     private static final double ESTIMATE_ROOM = 1.5;
 
     private final JobRecord record;
     private final long chainMillis;
     private final long acceptedRevision;
+    /** Whether it has no objective of its own: it has due times or runs until it is cancelled. */
+    private final boolean isOpen;
     private final TreeMap<Integer, List<Step>> rounds = new TreeMap<>();
     private JobState state = JobState.QUEUED;
     private QueueSpec queue;
@@ -34,7 +40,9 @@
         this.record = record;
         this.acceptedRevision = acceptedRevision;
         this.queue = record.queue();
-        this.chainMillis = chainMillis(record.job().steps());
+        this.chainMillis = chainMillis(record.job().steps(), step -> false);
+        this.isOpen = record.job().repeatCount() > 0
+                || record.job().steps().stream().anyMatch(StepSpec::longRunning);
     }
 
     /** The steps of a repetition, made when they are first asked for. */
@@ -79,16 +87,47 @@
      */
     boolean isTooLate(long wallMillis)
     {
-        boolean open = record.job().repeatCount() > 0
-                || record.job().steps().stream().anyMatch(StepSpec::longRunning);
-        long objective = queue.targetMillis() + (long) (queue.stretch() * chainMillis);
-        return !open && wallMillis - record.acceptedMillis() > LATE_FACTOR * objective;
+        long objective = objectiveMillis((long) (ESTIMATE_ROOM * chainMillis));
+        return !isOpen && wallMillis - record.acceptedMillis() > LATE_FACTOR * objective;
+    }
+
+    private long objectiveMillis(long chain)
+    {
+        return queue.targetMillis() + (long) (queue.stretch() * chain);
+    }
+
+    /**
+     * How much longer than the rest of its steps the job may take from now on and still meet its
+     * objective, in milliseconds; negative if it cannot. A step that is not done counts whole.
+     */
+    long spareMillis(long wallMillis)
+    {
+        return record.acceptedMillis() + objectiveMillis(chainMillis) - restMillis() - wallMillis;
+    }
+
+    /**
+     * Whether the job can surely no longer meet its objective, also where its estimates are too low.
+     * Jobs with due times and long-running ones always can.
+     */
+    boolean isOverdue(long wallMillis)
+    {
+        long latest = record.acceptedMillis() + objectiveMillis((long) (ESTIMATE_ROOM * chainMillis));
+        return !isOpen && wallMillis + restMillis() > latest;
+    }
+
+    /** The longest chain of the steps that are not done, by their estimates. */
+    private long restMillis()
+    {
+        List<Step> steps = round(0);
+        return chainMillis(record.job().steps(), step -> steps.get(step).isDone());
     }
 
-    /** The longest chain of steps by their estimates, with some room for estimates that are too low. */
-    private static long chainMillis(List<StepSpec> steps)
+    /** The longest chain of steps by their estimates, some of them left out. */
+    private long chainMillis(List<StepSpec> steps, IntPredicate isLeftOut)
     {
         long[] ends = new long[steps.size()];
+        long adviceMillis = (long) queue.adviceIfNeeded().map(advice -> advice.expectedMillis(USUAL_WORKERS))
+                .orElse(0.0).doubleValue();
         long longest = 0;
         for (int i = 0; i < ends.length; i++)
         {
@@ -97,7 +136,7 @@
             {
                 begin = Math.max(begin, ends[earlier]);
             }
-            ends[i] = begin + (long) (steps.get(i).estimateMillis() * ESTIMATE_ROOM);
+            ends[i] = begin + (isLeftOut.test(i) ? 0 : steps.get(i).estimateMillis() + adviceMillis);
             longest = Math.max(longest, ends[i]);
         }
         return longest;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -4,7 +4,6 @@
  */
 package org.gaugehollow.schedule;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -39,6 +38,10 @@
     /** A worker lists at most this many ends at once; a full list may hide others. */
     private static final int MOST_ENDS = 500;
 
+    private static final Comparator<Urgency> MOST_URGENT_FIRST = Comparator.comparing(Urgency::tooLate)
+            .thenComparingInt(urgency -> urgency.job().queue().priority()).thenComparing(Urgency::overdue)
+            .thenComparingLong(urgency -> urgency.job().acceptedRevision());
+
     private final LongSupplier nanoTime;
     private final Map<String, Job> jobs = new HashMap<>();
     /** Jobs that are over, and since when as far as this owner knows. */
@@ -430,21 +433,18 @@
 
     /**
      * The jobs that are not over: those that are not too late first, among them the most urgent queue
-     * first, and within it the earliest first.
+     * first, and within it those that can still meet their objective, the earliest first.
      */
     List<Job> byUrgency(long wallMillis)
     {
-        List<Job> sorted = new ArrayList<>();
-        for (Job job : jobs.values())
-        {
-            if (!job.state().isFinal())
-            {
-                sorted.add(job);
-            }
-        }
-        sorted.sort(Comparator.comparing((Job job) -> job.isTooLate(wallMillis))
-                .thenComparingInt(job -> job.queue().priority()).thenComparingLong(Job::acceptedRevision));
-        return sorted;
+        return jobs.values().stream().filter(job -> !job.state().isFinal())
+                .map(job -> new Urgency(job, job.isTooLate(wallMillis), job.isOverdue(wallMillis)))
+                .sorted(MOST_URGENT_FIRST).map(Urgency::job).toList();
+    }
+
+    /** What a job's turn depends on beside its queue and its age. */
+    private record Urgency(Job job, boolean tooLate, boolean overdue)
+    {
     }
 
     /** How many jobs of each queue have not begun; those with due times are left out. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -150,9 +150,11 @@
         logMoves(moves, "its worker leaves");
         logMoves(stalls, "it stands still");
         logMoves(slow, "its worker is slow");
+        logMoves(plan.preempted(), "more urgent work needs its room");
         apply(moves);
         apply(stalls);
         apply(slow);
+        apply(plan.preempted());
         Set<Job> begun = new LinkedHashSet<>();
         plan.starts().forEach(start -> begun.add(start.task().step().job()));
         journal.mark(begun, () -> plan.starts().forEach(this::send));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.StepSpec;
@@ -28,6 +29,8 @@
     private static final double FAILURE_WEIGHT = 2;
     private static final double UNPROVEN_WEIGHT = 3;
     private static final double AVOIDED_WEIGHT = 100;
+    private static final long PREEMPTION_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final int MOST_PREEMPTING_STEPS = 16;
 
     /**
      * A start that was decided.
@@ -47,8 +50,9 @@
      *
      * @param starts the starts that were decided; their tasks are marked as ordered
      * @param needAdvice steps that cannot start without newer advice
+     * @param preempted the runs that have to make room for more urgent ones
      */
-    record Plan(List<Start> starts, List<Step> needAdvice)
+    record Plan(List<Start> starts, List<Step> needAdvice, Effects preempted)
     {
     }
 
@@ -60,12 +64,24 @@
 
         /** Whether the step is known not to be allowed on the worker. */
         boolean isBarred(Step step, WorkerSlot slot);
+
+        /** Whether the step is known to be allowed on the worker, be there a valid ticket or not. */
+        boolean isAllowed(Step step, WorkerSlot slot);
+
+        /** Whether the step's tickets last for longer than it takes to get newer ones. */
+        boolean isFresh(Step step);
     }
 
     private final Ledger ledger;
     private final Tickets tickets;
     private final WorkerScore score;
+    private final RoomReservations reservations = new RoomReservations();
+    private final Preemption preemption = new Preemption(reservations);
     private Amounts askable = Amounts.NONE;
+    private Amounts learnable = Amounts.NONE;
+    private int preemptionsLeft;
+    private long preemptedNanos;
+    private boolean hasPreempted;
 
     Planner(Ledger ledger, Tickets tickets, WorkerScore score)
     {
@@ -77,8 +93,11 @@
     /** Decides as many starts as there is room for. */
     Plan plan(long nowNanos, long wallMillis)
     {
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>());
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new Effects());
         askable = freeInAll();
+        learnable = heldInAll();
+        reservations.dropOld(nowNanos);
+        beginPreemptions(nowNanos);
         for (Job job : ledger.byUrgency(wallMillis))
         {
             job.beginDueRounds(wallMillis);
@@ -86,14 +105,26 @@
             {
                 if (step.hasWaiting() && job.isReady(step))
                 {
-                    planStep(step, plan, nowNanos);
+                    planStep(step, plan, nowNanos, wallMillis);
                 }
             }
         }
         return plan;
     }
 
-    private void planStep(Step step, Plan plan, long nowNanos)
+    /** Looking for runs to stop is dear, so it is done now and then and for the most urgent steps. */
+    private void beginPreemptions(long nowNanos)
+    {
+        boolean due = !hasPreempted || nowNanos - preemptedNanos >= PREEMPTION_PERIOD_NANOS;
+        preemptionsLeft = due ? MOST_PREEMPTING_STEPS : 0;
+        if (due)
+        {
+            hasPreempted = true;
+            preemptedNanos = nowNanos;
+        }
+    }
+
+    private void planStep(Step step, Plan plan, long nowNanos, long wallMillis)
     {
         List<WorkerSlot> possible = possible(step, nowNanos);
         boolean advised = step.job().queue().adviceIfNeeded().isPresent();
@@ -114,14 +145,63 @@
         {
             step.job().setState(JobState.RUNNING);
         }
-        if (advised && step.hasWaiting() && hasRoomSomewhere(step, possible)
-                && askable.fits(step.spec().needs()))
+        if (step.hasWaiting())
+        {
+            preemptFor(step, possible, plan, nowNanos, wallMillis);
+        }
+        if (advised && step.hasWaiting() && shouldAsk(step, possible))
         {
             plan.needAdvice().add(step);
-            askable = askable.minusAtMost(times(step.spec().needs(), step.waiting().size()));
         }
     }
 
+    private void preemptFor(Step step, List<WorkerSlot> possible, Plan plan, long nowNanos, long wallMillis)
+    {
+        boolean mayStart = !step.spec().gang() || step.isIdle();
+        if (preemptionsLeft == 0 || !mayStart || step.job().isOverdue(wallMillis))
+        {
+            return;
+        }
+        preemptionsLeft--;
+        List<WorkerSlot> allowed = possible.stream().filter(slot -> tickets.isAllowed(step, slot)).toList();
+        plan.preempted().add(preemption.makeRoom(step, allowed, nowNanos, wallMillis));
+    }
+
+    /**
+     * Advice is asked for where a task could start now. Where none could, tickets are kept fresh, so
+     * that room can be made on the right workers and is not left idle for the time of a call once it is
+     * there.
+     */
+    private boolean shouldAsk(Step step, List<WorkerSlot> possible)
+    {
+        Amounts needs = step.spec().needs();
+        Amounts waiting = needs.times(step.waiting().size());
+        if (hasRoomSomewhere(step, possible) && askable.fits(needs))
+        {
+            askable = askable.minusAtMost(waiting);
+            return true;
+        }
+        if (!tickets.isFresh(step) && learnable.fits(needs))
+        {
+            learnable = learnable.minusAtMost(waiting);
+            return true;
+        }
+        return false;
+    }
+
+    /**
+     * What all workers together hold; no more tasks than that are prepared for room that is to come.
+     */
+    private Amounts heldInAll()
+    {
+        Amounts sum = Amounts.NONE;
+        for (WorkerSlot slot : ledger.workers())
+        {
+            sum = slot.accepts() ? sum.plus(slot.entry().capacity()) : sum;
+        }
+        return sum;
+    }
+
     /** What all workers together have free; advice is asked for no more tasks than could start now. */
     private Amounts freeInAll()
     {
@@ -157,21 +237,17 @@
         return service && labelled && !tickets.isBarred(step, slot);
     }
 
-    private static boolean hasRoomSomewhere(Step step, List<WorkerSlot> slots)
+    private boolean hasRoomSomewhere(Step step, List<WorkerSlot> slots)
     {
         return slots.stream().anyMatch(slot -> hasRoom(step, slot, 1));
     }
 
-    private static boolean hasRoom(Step step, WorkerSlot slot, int tasks)
+    private boolean hasRoom(Step step, WorkerSlot slot, int tasks)
     {
         int most = step.spec().antiAffinity();
         boolean apart = most == 0 || step.countOn(slot) + tasks <= most;
-        return apart && slot.free().fits(times(step.spec().needs(), tasks));
-    }
-
-    private static Amounts times(Amounts one, int count)
-    {
-        return new Amounts(0, one.cpuMillis() * count, one.memoryMib() * count, one.accelerators() * count);
+        Amounts needs = step.spec().needs().times(tasks);
+        return apart && slot.free().fits(needs.plus(reservations.keptFrom(step, slot)));
     }
 
     private void placeEach(Step step, List<WorkerSlot> usable, Plan plan, long nowNanos)
@@ -217,6 +293,7 @@
     private void start(Task task, int run, WorkerSlot slot, String checkpoint, Plan plan, long nowNanos)
     {
         task.order(slot, run, nowNanos);
+        reservations.use(task.step(), slot);
         String ticket = tickets.ticket(task.step(), slot).orElse(null);
         plan.starts().add(new Start(task, run, slot, checkpoint, ticket));
     }
@@ -246,7 +323,7 @@
     {
         StepSpec spec = task.step().spec();
         Amounts needs = spec.needs();
-        double rating = score.score(slot.entry().capacity(), slot.free().minus(times(needs, already)), needs);
+        double rating = score.score(slot.entry().capacity(), slot.free().minus(needs.times(already)), needs);
         rating += slot.health().isAvoided(nowNanos) ? AVOIDED_WEIGHT : 0;
         rating += slot.health().hasFailures() ? FAILURE_WEIGHT : 0;
         rating += task.failures() > 0 && !slot.health().isProven() ? UNPROVEN_WEIGHT : 0;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -332,6 +332,20 @@
         return observedNanos - sampleNanos >= SAMPLE_NANOS ? millis * WHOLE / done : 0;
     }
 
+    /**
+     * How long the run still takes if it goes on as it did, in milliseconds; the estimate where the
+     * looks show no progress yet.
+     */
+    long millisToEnd(long nowNanos)
+    {
+        long ran = TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
+        if (percent <= 0)
+        {
+            return Math.max(0, step.spec().estimateMillis() - ran);
+        }
+        return ran * (WHOLE - percent) / percent;
+    }
+
     /** How long the run that ended well took, in milliseconds; 0 if it is not known. */
     long ranMillis()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/NoTickets.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/NoTickets.java
@@ -15,6 +15,18 @@
         return Optional.empty();
     }
 
+    @Override
+    public boolean isAllowed(Step step, WorkerSlot slot)
+    {
+        return true;
+    }
+
+    @Override
+    public boolean isFresh(Step step)
+    {
+        return true;
+    }
+
     @Override
     public boolean isBarred(Step step, WorkerSlot slot)
     {
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -0,0 +1,144 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.worker.RunEnd;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** When runs are stopped for more urgent tasks, and who gets the room that comes free. */
+class PreemptionTest
+{
+    private static final String LARGE = "00000000000000bb";
+    private static final String SMALL = "00000000000000cc";
+    private static final int WHOLE_WORKER = 4_000;
+    private static final int HALF_WORKER = 2_000;
+    /** Its jobs of one step of 800 ms may take 8.25 s. */
+    private static final QueueSpec PATIENT = new QueueSpec("patient", "service", 2, 3, 250, 10, null);
+    private static final QueueSpec URGENT = new QueueSpec("urgent", "service", 1, 3, 2_000, 2, null);
+    /** Its jobs take longer than they may. */
+    private static final QueueSpec TIGHT = new QueueSpec("tight", "service", 1, 3, 0, 0.5, null);
+
+    private final AtomicLong clock = new AtomicLong(TimeUnit.SECONDS.toNanos(1_000));
+    private final Ledger ledger = new Ledger(clock::get, TimeUnit.SECONDS.toNanos(13));
+    private final Planner planner = new Planner(ledger, new NoTickets(), new WaitingFirstScore(0.5));
+    private WorkerSlot worker;
+    private long wallMillis;
+
+    @BeforeEach
+    void listWorker()
+    {
+        worker = ledger.list(TestJobs.worker("w1", WHOLE_WORKER));
+        worker.setHeld(true);
+    }
+
+    private static StepSpec step(int count, int cpu, boolean checkpointing)
+    {
+        return new StepSpec(count, cpu, 100, 0, 800, List.of(), checkpointing, false, false, null, null, 0,
+                false, false, null, 0, false, 0);
+    }
+
+    private void accept(String id, QueueSpec queue, long revision, StepSpec step)
+    {
+        ledger.accept(new JobRecord(id, queue, new JobSpec("text", List.of(step), 0, 0, 0), wallMillis),
+                revision, null, wallMillis);
+    }
+
+    private Planner.Plan plan()
+    {
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+        wallMillis += 50;
+        Planner.Plan plan = planner.plan(clock.get(), wallMillis);
+        plan.starts().forEach(start -> start.task().begun(clock.get()));
+        return plan;
+    }
+
+    private void end(Effects.Stop stop, long number)
+    {
+        ledger.look(worker,
+                TestJobs.answer(List.of(), List.of(TestJobs.ended(number, stop.task(), RunEnd.STOPPED))),
+                number - 1, clock.get());
+    }
+
+    @Test
+    void runsThatSaveMakeRoomForAMoreUrgentTask()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        assertThat(plan().starts()).hasSize(2);
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        List<Effects.Stop> stops = plan().preempted().stops();
+        assertThat(stops).hasSize(2);
+        assertThat(plan().preempted().stops()).isEmpty();
+        end(stops.get(0), 1);
+        end(stops.get(1), 2);
+        List<Planner.Start> starts = plan().starts();
+        assertThat(starts).hasSize(1);
+        assertThat(starts.getFirst().task().step().job().id()).isEqualTo(LARGE);
+    }
+
+    @Test
+    void roomThatComesFreeInPartsIsKept()
+    {
+        accept(SMALL, PATIENT, 1, step(3, HALF_WORKER, true));
+        plan();
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        List<Effects.Stop> stops = plan().preempted().stops();
+        end(stops.getFirst(), 1);
+        assertThat(plan().starts()).isEmpty();
+    }
+
+    @Test
+    void nothingIsStoppedForATaskOfTheSameQueue()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        accept(LARGE, PATIENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(plan().preempted().stops()).isEmpty();
+    }
+
+    @Test
+    void aJobThatWouldBecomeLateIsLeft()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        wallMillis += 6_500;
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(plan().preempted().stops()).isEmpty();
+    }
+
+    @Test
+    void nothingIsStoppedForAJobThatIsLateInAnyCase()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        accept(LARGE, TIGHT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(plan().preempted().stops()).isEmpty();
+    }
+
+    @Test
+    void jobsThatCanStillBeInTimeGoBeforeThoseThatCannot()
+    {
+        accept(LARGE, URGENT, 1, step(1, WHOLE_WORKER, true));
+        worker.setHeld(false);
+        plan();
+        wallMillis += 4_000;
+        accept(SMALL, URGENT, 2, step(1, WHOLE_WORKER, true));
+        worker.setHeld(true);
+        List<Planner.Start> starts = plan().starts();
+        assertThat(starts).hasSize(1);
+        assertThat(starts.getFirst().task().step().job().id()).isEqualTo(SMALL);
+    }
+}
