Boxes rehearse an owner's work, starts wait for their own record only

The code of an owner is cold on a box that has never owned the cell. Changes: - OwnerRehearsal: while another box owns the cell, a box goes through an owner's decisions on made-up jobs in memory, so that the runtime compiles them.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -29,12 +29,14 @@
 import org.gaugehollow.peer.PeerServer;
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.KeyFollower;
 import org.gaugehollow.platform.MonitoredStore;
 import org.gaugehollow.platform.StoreProbe;
 import org.gaugehollow.schedule.AdviceLines;
 import org.gaugehollow.schedule.CellPlatform;
 import org.gaugehollow.schedule.OwnerElection;
+import org.gaugehollow.schedule.OwnerRehearsal;
 import org.gaugehollow.schedule.OwnerMonitor;
 import org.gaugehollow.supervise.Supervisor;
 
@@ -53,6 +55,7 @@
     private static final long MILLIS = 1_000;
     private static final long LAST_MARGIN_MILLIS = 400;
     private static final double ACCELERATOR_RESERVE = 0.5;
+    private static final WorkerScore SCORE = new WaitingFirstScore(ACCELERATOR_RESERVE);
 
     private final JobBoxSettings settings;
     private final String id;
@@ -121,9 +124,8 @@
                 new BoxRegistry.Entry(settings.peerAddress(), settings.processorMillis()), store, directory,
                 lines, events);
         this.monitor = new OwnerMonitor(new PeerOwnerProbe(registry), store::isSteady, System::nanoTime);
-        this.election = new OwnerElection(id, platform, config, monitor, registry, lines,
-                new WaitingFirstScore(ACCELERATOR_RESERVE), root.child("owner"), settings.statusSeconds(),
-                events);
+        this.election = new OwnerElection(id, platform, config, monitor, registry, lines, SCORE,
+                root.child("owner"), settings.statusSeconds(), events);
         JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), events, metrics);
         CallerService service = callerPort.open(config, intake);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
@@ -174,6 +176,7 @@
         root.start("store-probe", new StoreProbe(store, JobKeys.OWNER));
         root.start("peers", new KeyFollower(store, JobKeys.BOXES, registry, events));
         root.start("election", election);
+        root.start("rehearsal", new OwnerRehearsal(election, SCORE));
     }
 
     private void answerReadiness(HttpExchange exchange) throws InterruptedException
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -142,11 +142,34 @@
         return longest;
     }
 
+    /** The steps with tasks that wait for a start and whose turn has come. */
+    List<Step> waitingSteps()
+    {
+        List<Step> waiting = new ArrayList<>();
+        for (List<Step> round : rounds.values())
+        {
+            for (Step step : round)
+            {
+                if (step.hasWaiting() && isReady(step, round))
+                {
+                    waiting.add(step);
+                }
+            }
+        }
+        return waiting;
+    }
+
     /** Whether all tasks of the steps that a step waits for have ended well. */
-    boolean isReady(Step step)
+    private static boolean isReady(Step step, List<Step> round)
     {
-        List<Step> round = rounds.get(step.round());
-        return step.spec().dependsOn().stream().allMatch(earlier -> round.get(earlier).isDone());
+        for (int earlier : step.spec().dependsOn())
+        {
+            if (!round.get(earlier).isDone())
+            {
+                return false;
+            }
+        }
+        return true;
     }
 
     boolean allDone()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -432,14 +433,26 @@
     }
 
     /**
-     * The jobs that are not over: those that are not too late first, among them the most urgent queue
-     * first, and within it those that can still meet their objective, the earliest first.
+     * The jobs that have a task whose turn has come: those that are not too late first, among them the
+     * most urgent queue first, and within it those that can still meet their objective, the earliest
+     * first.
      */
-    List<Job> byUrgency(long wallMillis)
+    List<Job> waitingByUrgency(long wallMillis)
     {
-        return jobs.values().stream().filter(job -> !job.state().isFinal())
-                .map(job -> new Urgency(job, job.isTooLate(wallMillis), job.isOverdue(wallMillis)))
-                .sorted(MOST_URGENT_FIRST).map(Urgency::job).toList();
+        List<Urgency> waiting = new ArrayList<>();
+        for (Job job : jobs.values())
+        {
+            if (!job.state().isFinal())
+            {
+                job.beginDueRounds(wallMillis);
+                if (!job.waitingSteps().isEmpty())
+                {
+                    waiting.add(new Urgency(job, job.isTooLate(wallMillis), job.isOverdue(wallMillis)));
+                }
+            }
+        }
+        waiting.sort(MOST_URGENT_FIRST);
+        return waiting.stream().map(Urgency::job).toList();
     }
 
     /** What a job's turn depends on beside its queue and its age. */
@@ -447,6 +460,20 @@
     {
     }
 
+    /** The priority of the least urgent queue that has tasks on workers; 0 goes first. */
+    int leastUrgentAtWork()
+    {
+        int least = 0;
+        for (WorkerSlot slot : workers.values())
+        {
+            for (Task task : slot.tasks())
+            {
+                least = Math.max(least, task.step().job().queue().priority());
+            }
+        }
+        return least;
+    }
+
     /** How many jobs of each queue have not begun; those with due times are left out. */
     Map<String, Integer> pending()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -4,10 +4,10 @@
  */
 package org.gaugehollow.schedule;
 
-import java.util.LinkedHashSet;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +30,11 @@
 {
     private static final long LONGEST_WAIT_MILLIS = 200;
     private static final long MILLIS_BETWEEN_PLANS = 3;
+    /**
+     * How many times as long as a plan took nothing is planned then, so that orders and looks have
+     * their turn on a busy processor.
+     */
+    private static final int PAUSE_FOR_PLAN = 2;
     /**
      * How often the list of workers is read; each worker writes there more often than once in two
      * seconds.
@@ -115,11 +120,13 @@
             {
                 wakeUps.drainPermits();
             }
+            long begunNanos = System.nanoTime();
             if (jobs.areListed())
             {
                 planOnce();
             }
-            Thread.sleep(MILLIS_BETWEEN_PLANS);
+            long tookMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
+            Thread.sleep(Math.max(MILLIS_BETWEEN_PLANS, PAUSE_FOR_PLAN * tookMillis));
         }
     }
 
@@ -155,9 +162,18 @@
         apply(stalls);
         apply(slow);
         apply(plan.preempted());
-        Set<Job> begun = new LinkedHashSet<>();
-        plan.starts().forEach(start -> begun.add(start.task().step().job()));
-        journal.mark(begun, () -> plan.starts().forEach(this::send));
+        sendOnceWritten(plan.starts());
+    }
+
+    /** Each job's starts are sent as soon as its own record is written, not when all are. */
+    private void sendOnceWritten(List<Planner.Start> starts)
+    {
+        Map<Job, List<Planner.Start>> byJob = new LinkedHashMap<>();
+        for (Planner.Start start : starts)
+        {
+            byJob.computeIfAbsent(start.task().step().job(), job -> new ArrayList<>()).add(start);
+        }
+        byJob.forEach((job, its) -> journal.mark(List.of(job), () -> its.forEach(this::send)));
     }
 
     private void logMoves(Effects effects, String why)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -29,7 +29,7 @@
     private static final double FAILURE_WEIGHT = 2;
     private static final double UNPROVEN_WEIGHT = 3;
     private static final double AVOIDED_WEIGHT = 100;
-    private static final long PREEMPTION_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long PREEMPTION_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int MOST_PREEMPTING_STEPS = 16;
 
     /**
@@ -80,6 +80,7 @@
     private Amounts askable = Amounts.NONE;
     private Amounts learnable = Amounts.NONE;
     private int preemptionsLeft;
+    private int leastUrgent;
     private long preemptedNanos;
     private boolean hasPreempted;
 
@@ -98,15 +99,11 @@
         learnable = heldInAll();
         reservations.dropOld(nowNanos);
         beginPreemptions(nowNanos);
-        for (Job job : ledger.byUrgency(wallMillis))
+        for (Job job : ledger.waitingByUrgency(wallMillis))
         {
-            job.beginDueRounds(wallMillis);
-            for (Step step : job.steps())
+            for (Step step : job.waitingSteps())
             {
-                if (step.hasWaiting() && job.isReady(step))
-                {
-                    planStep(step, plan, nowNanos, wallMillis);
-                }
+                planStep(step, plan, nowNanos, wallMillis);
             }
         }
         return plan;
@@ -121,6 +118,7 @@
         {
             hasPreempted = true;
             preemptedNanos = nowNanos;
+            leastUrgent = ledger.leastUrgentAtWork();
         }
     }
 
@@ -158,7 +156,8 @@
     private void preemptFor(Step step, List<WorkerSlot> possible, Plan plan, long nowNanos, long wallMillis)
     {
         boolean mayStart = !step.spec().gang() || step.isIdle();
-        if (preemptionsLeft == 0 || !mayStart || step.job().isOverdue(wallMillis))
+        boolean isLeastUrgent = step.job().queue().priority() >= leastUrgent;
+        if (preemptionsLeft == 0 || isLeastUrgent || !mayStart || step.job().isOverdue(wallMillis))
         {
             return;
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -37,12 +37,26 @@
 
     boolean isDone()
     {
-        return tasks.stream().allMatch(task -> task.phase() == Task.Phase.DONE);
+        for (Task task : tasks)
+        {
+            if (task.phase() != Task.Phase.DONE)
+            {
+                return false;
+            }
+        }
+        return true;
     }
 
     boolean hasWaiting()
     {
-        return tasks.stream().anyMatch(task -> task.phase() == Task.Phase.WAITING);
+        for (Task task : tasks)
+        {
+            if (task.phase() == Task.Phase.WAITING)
+            {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The tasks that wait for a start. */
