--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -38,13 +38,6 @@
         stops.add(new Stop(task.worker(), task.name(), task.run(), task));
     }
 
-    /** Takes over what another change asks for. */
-    void add(Effects other)
-    {
-        changed.addAll(other.changed);
-        stops.addAll(other.stops);
-    }
-
     void stopUnknown(WorkerSlot slot, String taskName, int run)
     {
         stops.add(new Stop(slot, taskName, run, null));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -4,9 +4,7 @@
  */
 package org.gaugehollow.schedule;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -39,10 +37,6 @@
     /** A worker lists at most this many ends at once; a full list may hide others. */
     private static final int MOST_ENDS = 500;
 
-    private static final Comparator<Urgency> MOST_URGENT_FIRST = Comparator.comparing(Urgency::tooLate)
-            .thenComparingInt(urgency -> urgency.job().queue().priority()).thenComparing(Urgency::overdue)
-            .thenComparingLong(urgency -> urgency.job().acceptedRevision());
-
     private final LongSupplier nanoTime;
     private final Map<String, Job> jobs = new HashMap<>();
     /** Jobs that are over, and since when as far as this owner knows. */
@@ -432,32 +426,10 @@
         return job == null ? null : job.find(name);
     }
 
-    /**
-     * The jobs that have a task whose turn has come: those that are not too late first, among them the
-     * most urgent queue first, and within it those that can still meet their objective, the earliest
-     * first.
-     */
+    /** The jobs that have a task whose turn has come, in the order of their turns. */
     List<Job> waitingByUrgency(long wallMillis)
     {
-        List<Urgency> waiting = new ArrayList<>();
-        for (Job job : jobs.values())
-        {
-            if (!job.state().isFinal())
-            {
-                job.beginDueRounds(wallMillis);
-                if (!job.waitingSteps().isEmpty())
-                {
-                    waiting.add(new Urgency(job, job.isTooLate(wallMillis), job.isOverdue(wallMillis)));
-                }
-            }
-        }
-        waiting.sort(MOST_URGENT_FIRST);
-        return waiting.stream().map(Urgency::job).toList();
-    }
-
-    /** What a job's turn depends on beside its queue and its age. */
-    private record Urgency(Job job, boolean tooLate, boolean overdue)
-    {
+        return JobOrder.waiting(jobs.values(), wallMillis);
     }
 
     /** The priority of the least urgent queue that has tasks on workers; 0 goes first. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/NoTickets.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/NoTickets.java
@@ -6,7 +6,7 @@
 
 import java.util.Optional;
 
-/** Starts need no ticket. */
+/** Where no start needs a ticket and each step may run everywhere. */
 final class NoTickets implements Planner.Tickets
 {
     @Override
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
@@ -6,7 +6,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -101,7 +100,7 @@
 
         Round(WorkerScore score)
         {
-            this.planner = new Planner(ledger, new FreeTickets(), score);
+            this.planner = new Planner(ledger, new NoTickets(), score);
         }
 
         int play()
@@ -199,32 +198,4 @@
             JobCodec.readProgress(JobCodec.writeProgress(job.progress()));
         }
     }
-
-    /** No start needs a ticket. */
-    private static final class FreeTickets implements Planner.Tickets
-    {
-        @Override
-        public Optional<String> ticket(Step step, WorkerSlot slot)
-        {
-            return Optional.empty();
-        }
-
-        @Override
-        public boolean isBarred(Step step, WorkerSlot slot)
-        {
-            return false;
-        }
-
-        @Override
-        public boolean isAllowed(Step step, WorkerSlot slot)
-        {
-            return true;
-        }
-
-        @Override
-        public boolean isFresh(Step step)
-        {
-            return true;
-        }
-    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -157,11 +157,10 @@
         logMoves(moves, "its worker leaves");
         logMoves(stalls, "it stands still");
         logMoves(slow, "its worker is slow");
-        logMoves(plan.preempted(), "more urgent work needs its room");
         apply(moves);
         apply(stalls);
         apply(slow);
-        apply(plan.preempted());
+        plan.madeRoom().forEach(this::makeRoom);
         sendOnceWritten(plan.starts());
     }
 
@@ -176,6 +175,12 @@
         byJob.forEach((job, its) -> journal.mark(List.of(job), () -> its.forEach(this::send)));
     }
 
+    private void makeRoom(Planner.MadeRoom room)
+    {
+        logMoves(room.effects(), room.step().name() + " is more urgent and needs its room");
+        apply(room.effects());
+    }
+
     private void logMoves(Effects effects, String why)
     {
         for (Effects.Stop stop : effects.stops())
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -9,10 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.job.JobState;
-import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.worker.WorkerEntry;
@@ -24,14 +22,6 @@
  */
 final class Planner
 {
-    private static final double AFFINITY_WEIGHT = 0.6;
-    private static final double DISTURBANCE_WEIGHT = 1.5;
-    private static final double FAILURE_WEIGHT = 2;
-    private static final double UNPROVEN_WEIGHT = 3;
-    private static final double AVOIDED_WEIGHT = 100;
-    private static final long PREEMPTION_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-    private static final int MOST_PREEMPTING_STEPS = 16;
-
     /**
      * A start that was decided.
      *
@@ -50,9 +40,19 @@
      *
      * @param starts the starts that were decided; their tasks are marked as ordered
      * @param needAdvice steps that cannot start without newer advice
-     * @param preempted the runs that have to make room for more urgent ones
+     * @param madeRoom the runs that have to make room for more urgent steps
+     */
+    record Plan(List<Start> starts, List<Step> needAdvice, List<MadeRoom> madeRoom)
+    {
+    }
+
+    /**
+     * Runs that are stopped for a step.
+     *
+     * @param step the step that needs their room
+     * @param effects the stops
      */
-    record Plan(List<Start> starts, List<Step> needAdvice, Effects preempted)
+    record MadeRoom(Step step, Effects effects)
     {
     }
 
@@ -74,55 +74,36 @@
 
     private final Ledger ledger;
     private final Tickets tickets;
-    private final WorkerScore score;
+    private final WorkerRating rating;
     private final RoomReservations reservations = new RoomReservations();
     private final Preemption preemption = new Preemption(reservations);
-    private Amounts askable = Amounts.NONE;
-    private Amounts learnable = Amounts.NONE;
-    private int preemptionsLeft;
-    private int leastUrgent;
-    private long preemptedNanos;
-    private boolean hasPreempted;
+    private AdviceBudget advice = AdviceBudget.NONE;
 
     Planner(Ledger ledger, Tickets tickets, WorkerScore score)
     {
         this.ledger = ledger;
         this.tickets = tickets;
-        this.score = score;
+        this.rating = new WorkerRating(score);
     }
 
     /** Decides as many starts as there is room for. */
     Plan plan(long nowNanos, long wallMillis)
     {
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new Effects());
-        askable = freeInAll();
-        learnable = heldInAll();
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        advice = AdviceBudget.of(ledger.workers());
         reservations.dropOld(nowNanos);
-        beginPreemptions(nowNanos);
+        preemption.begin(ledger, nowNanos, wallMillis);
         for (Job job : ledger.waitingByUrgency(wallMillis))
         {
             for (Step step : job.waitingSteps())
             {
-                planStep(step, plan, nowNanos, wallMillis);
+                planStep(step, plan, nowNanos);
             }
         }
         return plan;
     }
 
-    /** Looking for runs to stop is dear, so it is done now and then and for the most urgent steps. */
-    private void beginPreemptions(long nowNanos)
-    {
-        boolean due = !hasPreempted || nowNanos - preemptedNanos >= PREEMPTION_PERIOD_NANOS;
-        preemptionsLeft = due ? MOST_PREEMPTING_STEPS : 0;
-        if (due)
-        {
-            hasPreempted = true;
-            preemptedNanos = nowNanos;
-            leastUrgent = ledger.leastUrgentAtWork();
-        }
-    }
-
-    private void planStep(Step step, Plan plan, long nowNanos, long wallMillis)
+    private void planStep(Step step, Plan plan, long nowNanos)
     {
         List<WorkerSlot> possible = possible(step, nowNanos);
         boolean advised = step.job().queue().adviceIfNeeded().isPresent();
@@ -145,7 +126,9 @@
         }
         if (step.hasWaiting())
         {
-            preemptFor(step, possible, plan, nowNanos, wallMillis);
+            List<WorkerSlot> allowed = possible.stream().filter(slot -> tickets.isAllowed(step, slot))
+                    .toList();
+            plan.madeRoom().add(new MadeRoom(step, preemption.makeRoom(step, allowed)));
         }
         if (advised && step.hasWaiting() && shouldAsk(step, possible))
         {
@@ -153,19 +136,6 @@
         }
     }
 
-    private void preemptFor(Step step, List<WorkerSlot> possible, Plan plan, long nowNanos, long wallMillis)
-    {
-        boolean mayStart = !step.spec().gang() || step.isIdle();
-        boolean isLeastUrgent = step.job().queue().priority() >= leastUrgent;
-        if (preemptionsLeft == 0 || isLeastUrgent || !mayStart || step.job().isOverdue(wallMillis))
-        {
-            return;
-        }
-        preemptionsLeft--;
-        List<WorkerSlot> allowed = possible.stream().filter(slot -> tickets.isAllowed(step, slot)).toList();
-        plan.preempted().add(preemption.makeRoom(step, allowed, nowNanos, wallMillis));
-    }
-
     /**
      * Advice is asked for where a task could start now. Where none could, tickets are kept fresh, so
      * that room can be made on the right workers and is not left idle for the time of a call once it is
@@ -173,43 +143,8 @@
      */
     private boolean shouldAsk(Step step, List<WorkerSlot> possible)
     {
-        Amounts needs = step.spec().needs();
-        Amounts waiting = needs.times(step.waiting().size());
-        if (hasRoomSomewhere(step, possible) && askable.fits(needs))
-        {
-            askable = askable.minusAtMost(waiting);
-            return true;
-        }
-        if (!tickets.isFresh(step) && learnable.fits(needs))
-        {
-            learnable = learnable.minusAtMost(waiting);
-            return true;
-        }
-        return false;
-    }
-
-    /**
-     * What all workers together hold; no more tasks than that are prepared for room that is to come.
-     */
-    private Amounts heldInAll()
-    {
-        Amounts sum = Amounts.NONE;
-        for (WorkerSlot slot : ledger.workers())
-        {
-            sum = slot.accepts() ? sum.plus(slot.entry().capacity()) : sum;
-        }
-        return sum;
-    }
-
-    /** What all workers together have free; advice is asked for no more tasks than could start now. */
-    private Amounts freeInAll()
-    {
-        Amounts sum = Amounts.NONE;
-        for (WorkerSlot slot : ledger.workers())
-        {
-            sum = slot.accepts() ? sum.plus(slot.free()) : sum;
-        }
-        return sum;
+        return hasRoomSomewhere(step, possible) && advice.takeForRoom(step)
+                || !tickets.isFresh(step) && advice.takeAhead(step);
     }
 
     /** The workers that may run the step whatever room they have now; avoided ones only if all are. */
@@ -307,55 +242,14 @@
             int already = chosen.getOrDefault(slot, 0);
             if (hasRoom(task.step(), slot, already + 1))
             {
-                double rating = rating(task, slot, already, nowNanos);
-                if (rating < bestRating)
+                double value = rating.rating(task, slot, already, nowNanos);
+                if (value < bestRating)
                 {
                     best = slot;
-                    bestRating = rating;
+                    bestRating = value;
                 }
             }
         }
         return best;
     }
-
-    private double rating(Task task, WorkerSlot slot, int already, long nowNanos)
-    {
-        StepSpec spec = task.step().spec();
-        Amounts needs = spec.needs();
-        double rating = score.score(slot.entry().capacity(), slot.free().minus(needs.times(already)), needs);
-        rating += slot.health().isAvoided(nowNanos) ? AVOIDED_WEIGHT : 0;
-        rating += slot.health().hasFailures() ? FAILURE_WEIGHT : 0;
-        rating += task.failures() > 0 && !slot.health().isProven() ? UNPROVEN_WEIGHT : 0;
-        rating += task.hasFailedOn(slot) ? UNPROVEN_WEIGHT : 0;
-        boolean far = spec.affinity() != null && !spec.affinity().isEmpty()
-                && !slot.entry().labels().contains(spec.affinity());
-        rating += far ? AFFINITY_WEIGHT : 0;
-        rating += spec.rackLocal() && !sharesRack(task.step(), slot) ? AFFINITY_WEIGHT : 0;
-        rating += disturbs(spec, slot) ? DISTURBANCE_WEIGHT : 0;
-        return rating;
-    }
-
-    private static boolean sharesRack(Step step, WorkerSlot slot)
-    {
-        return step.tasks().stream().filter(Task::occupies).allMatch(other -> other.worker().entry() != null
-                && other.worker().entry().rack().equals(slot.entry().rack()));
-    }
-
-    /** Whether tasks that fill and tasks that serve would share the worker. */
-    private static boolean disturbs(StepSpec spec, WorkerSlot slot)
-    {
-        if (!spec.fills() && spec.targetMillis() == 0)
-        {
-            return false;
-        }
-        for (Task other : slot.tasks())
-        {
-            StepSpec otherSpec = other.step().spec();
-            if (spec.fills() ? otherSpec.targetMillis() > 0 : otherSpec.fills())
-            {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -33,12 +33,22 @@
     /** How much work may be lost for a task, as a part of what the task itself needs. */
     private static final double MOST_LOSS = 0.5;
 
+    /** Looking for runs to stop is dear: it is done this often, and for so many steps. */
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final int MOST_STEPS = 16;
+
     /** Room for one task on a worker, and the runs that are to be stopped for it. */
     private record Place(WorkerSlot slot, List<Task> victims, double lostMillis)
     {
     }
 
     private final RoomReservations reservations;
+    private long nowNanos;
+    private long wallMillis;
+    private long dueNanos;
+    private boolean hasBegun;
+    private int stepsLeft;
+    private int leastUrgent;
 
     Preemption(RoomReservations reservations)
     {
@@ -46,23 +56,50 @@
     }
 
     /**
-     * Makes room for the waiting tasks of a step, for all of a gang or for as many as possible.
+     * Begins a round of decisions.
+     *
+     * @param ledger what is at work
+     * @param newNanos the monotonic clock
+     * @param newMillis the time of day, in milliseconds since 1970
+     */
+    void begin(Ledger ledger, long newNanos, long newMillis)
+    {
+        nowNanos = newNanos;
+        wallMillis = newMillis;
+        stepsLeft = 0;
+        if (!hasBegun || newNanos - dueNanos >= 0)
+        {
+            hasBegun = true;
+            dueNanos = newNanos + PERIOD_NANOS;
+            stepsLeft = MOST_STEPS;
+            leastUrgent = ledger.leastUrgentAtWork();
+        }
+    }
+
+    /**
+     * Makes room for the waiting tasks of a step, for all of a gang or for as many as possible. Nothing
+     * is done where nothing less urgent is at work, or where the job is late in any case.
      *
      * @param step the step
      * @param allowed the workers that may run it
-     * @param nowNanos the monotonic clock
-     * @param wallMillis the time of day, in milliseconds since 1970
      * @return the runs that are to be stopped
      */
-    Effects makeRoom(Step step, Collection<WorkerSlot> allowed, long nowNanos, long wallMillis)
+    Effects makeRoom(Step step, Collection<WorkerSlot> allowed)
     {
         Effects effects = new Effects();
+        boolean mayStart = !step.spec().gang() || step.isIdle();
+        boolean isLeastUrgent = step.job().queue().priority() >= leastUrgent;
+        if (stepsLeft == 0 || isLeastUrgent || !mayStart || step.job().isOverdue(wallMillis))
+        {
+            return effects;
+        }
+        stepsLeft--;
         int missing = step.waiting().size() - reservations.countOf(step);
         List<Place> places = new ArrayList<>();
         Set<Task> leaving = new HashSet<>();
         for (int i = 0; i < missing; i++)
         {
-            Place place = cheapest(step, allowed, places, leaving, nowNanos, wallMillis);
+            Place place = cheapest(step, allowed, places, leaving);
             if (place == null)
             {
                 break;
@@ -82,17 +119,14 @@
         return effects;
     }
 
-    private Place cheapest(Step step, Collection<WorkerSlot> allowed, List<Place> chosen, Set<Task> leaving,
-            long nowNanos, long wallMillis)
+    private Place cheapest(Step step, Collection<WorkerSlot> allowed, List<Place> chosen, Set<Task> leaving)
     {
         Place best = null;
         for (WorkerSlot slot : allowed)
         {
             int already = reservations.countOf(step, slot)
                     + (int) chosen.stream().filter(place -> place.slot() == slot).count();
-            Place place = isApart(step, slot, already + 1)
-                    ? place(step, slot, already + 1, leaving, nowNanos, wallMillis)
-                    : null;
+            Place place = isApart(step, slot, already + 1) ? place(step, slot, already + 1, leaving) : null;
             if (place != null && (best == null || place.lostMillis() < best.lostMillis()))
             {
                 best = place;
@@ -108,24 +142,23 @@
     }
 
     /** The runs to stop on a worker so that it has room for some tasks; null if it cannot have it. */
-    private Place place(Step step, WorkerSlot slot, int tasks, Set<Task> leaving, long nowNanos,
-            long wallMillis)
+    private Place place(Step step, WorkerSlot slot, int tasks, Set<Task> leaving)
     {
         Amounts wanted = step.spec().needs().times(tasks).plus(reservations.keptFrom(step, slot));
         Amounts room = slot.free();
         List<Task> candidates = new ArrayList<>();
         for (Task task : slot.tasks())
         {
-            if (leaving.contains(task) || endsSoon(task, nowNanos))
+            if (leaving.contains(task) || endsSoon(task))
             {
                 room = room.plus(task.step().spec().needs());
             }
-            else if (mayStop(task, step, wallMillis))
+            else if (mayStop(task, step))
             {
                 candidates.add(task);
             }
         }
-        candidates.sort(Comparator.comparingLong((Task task) -> lostMillis(task, nowNanos)));
+        candidates.sort(Comparator.comparingLong(this::lostMillis));
         List<Task> victims = new ArrayList<>();
         double lost = 0;
         for (Task candidate : candidates)
@@ -134,14 +167,14 @@
             {
                 room = room.plus(candidate.step().spec().needs());
                 victims.add(candidate);
-                lost += share(candidate.step(), slot) * lostMillis(candidate, nowNanos);
+                lost += share(candidate.step(), slot) * lostMillis(candidate);
             }
         }
         double most = MOST_LOSS * share(step, slot) * step.spec().estimateMillis();
         return room.fits(wanted) && lost <= most ? new Place(slot, victims, lost) : null;
     }
 
-    private static long lostMillis(Task task, long nowNanos)
+    private long lostMillis(Task task)
     {
         long ran = TimeUnit.NANOSECONDS.toMillis(nowNanos - task.startedNanos());
         return task.step().spec().checkpointing() ? Math.min(ran, RESTORE_MILLIS) : ran;
@@ -161,13 +194,13 @@
         return whole == 0 ? 0 : (double) amount / whole;
     }
 
-    private static boolean endsSoon(Task task, long nowNanos)
+    private boolean endsSoon(Task task)
     {
         return task.phase() == Task.Phase.STOPPING
                 || task.phase() == Task.Phase.RUNNING && task.millisToEnd(nowNanos) <= SOON_MILLIS;
     }
 
-    private static boolean mayStop(Task task, Step urgent, long wallMillis)
+    private boolean mayStop(Task task, Step urgent)
     {
         Step step = task.step();
         boolean lessUrgent = step.job().queue().priority() > urgent.job().queue().priority();
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -66,6 +66,11 @@
         return plan;
     }
 
+    private static List<Effects.Stop> stops(Planner.Plan plan)
+    {
+        return plan.madeRoom().stream().flatMap(room -> room.effects().stops().stream()).toList();
+    }
+
     private void end(Effects.Stop stop, long number)
     {
         ledger.look(worker,
@@ -79,9 +84,9 @@
         accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
         assertThat(plan().starts()).hasSize(2);
         accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
-        List<Effects.Stop> stops = plan().preempted().stops();
+        List<Effects.Stop> stops = stops(plan());
         assertThat(stops).hasSize(2);
-        assertThat(plan().preempted().stops()).isEmpty();
+        assertThat(stops(plan())).isEmpty();
         end(stops.get(0), 1);
         end(stops.get(1), 2);
         List<Planner.Start> starts = plan().starts();
@@ -95,7 +100,7 @@
         accept(SMALL, PATIENT, 1, step(3, HALF_WORKER, true));
         plan();
         accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
-        List<Effects.Stop> stops = plan().preempted().stops();
+        List<Effects.Stop> stops = stops(plan());
         end(stops.getFirst(), 1);
         assertThat(plan().starts()).isEmpty();
     }
@@ -106,7 +111,7 @@
         accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
         plan();
         accept(LARGE, PATIENT, 2, step(1, WHOLE_WORKER, true));
-        assertThat(plan().preempted().stops()).isEmpty();
+        assertThat(stops(plan())).isEmpty();
     }
 
     @Test
@@ -116,7 +121,7 @@
         plan();
         wallMillis += 6_500;
         accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
-        assertThat(plan().preempted().stops()).isEmpty();
+        assertThat(stops(plan())).isEmpty();
     }
 
     @Test
@@ -125,7 +130,7 @@
         accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
         plan();
         accept(LARGE, TIGHT, 2, step(1, WHOLE_WORKER, true));
-        assertThat(plan().preempted().stops()).isEmpty();
+        assertThat(stops(plan())).isEmpty();
     }
 
     @Test
