--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -38,6 +38,7 @@
     private boolean down;
     private boolean watchesSilent;
     private Interruption afterCommit;
+    private String lastWritten;
 
     /** @param count so many next commits take effect and then fail */
     public void loseAnswers(int count)
@@ -63,6 +64,12 @@
         down = value;
     }
 
+    /** @param prefix the store is down once a key that starts with it was written */
+    public synchronized void goDownAfterWriting(String prefix)
+    {
+        lastWritten = prefix;
+    }
+
     public void afterNextCommit(Interruption interruption)
     {
         afterCommit = interruption;
@@ -134,6 +141,7 @@
         commits++;
         for (StoreTransaction.Write write : writes)
         {
+            down |= lastWritten != null && write.key().startsWith(lastWritten);
             boolean gone = write.value() == null;
             history.add(new StoreChange(write.key(), write.value(), revision, gone));
             if (gone)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -133,6 +133,23 @@
         assertThat(TestJobs.within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
     }
 
+    @Test
+    void aStartWaitsForItsOwnRecordOnly() throws InterruptedException
+    {
+        int jobs = 40;
+        for (int i = 0; i < jobs; i++)
+        {
+            String id = String.format("%016x", i);
+            platform.store().commit(new StoreTransaction().put(JobKeys.job(id),
+                    JobCodec.writeRecord(TestJobs.job(id, TestJobs.step(1, 100, List.of())))));
+        }
+        FakeWorker worker = platform.addWorker("w1");
+        platform.fakeStore().goDownAfterWriting(JobKeys.PROGRESS);
+        beginTerm();
+        assertThat(TestJobs.within(3_000, () -> !worker.begun().isEmpty())).isTrue();
+        assertThat(worker.begun().size()).isLessThan(jobs);
+    }
+
     @Test
     void aJobOfWhichTheWatchDoesNotTellIsReadOnceAPeerTellsOfIt() throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -105,6 +105,25 @@
         assertThat(plan().starts()).isEmpty();
     }
 
+    @Test
+    void runsThatDoNotSaveAreStoppedOnlyWhereLittleIsLost()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, false));
+        plan();
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(450));
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).isEmpty();
+    }
+
+    @Test
+    void runsThatDoNotSaveAndHaveJustBegunAreStopped()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, false));
+        plan();
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).hasSize(2);
+    }
+
     @Test
     void nothingIsStoppedForATaskOfTheSameQueue()
     {
