--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -105,6 +105,14 @@
         return record.acceptedMillis() + objectiveMillis(chainMillis) - restMillis() - wallMillis;
     }
 
+    /**
+     * How much longer than its chain of steps the job may take from its acceptance, in milliseconds.
+     */
+    long wholeSpareMillis()
+    {
+        return objectiveMillis(chainMillis) - chainMillis;
+    }
+
     /**
      * Whether the job can surely no longer meet its objective, also where its estimates are too low.
      * Jobs with due times and long-running ones always can.
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -28,6 +28,8 @@
     private static final long SOON_MILLIS = 300;
     /** What a stopped run costs its job: the stop, another start and the restoring of its state. */
     private static final long STOP_COST_MILLIS = 2_000;
+    /** How much of the time that a job could spare at first must be left for its runs to be stopped. */
+    private static final double LEAST_SPARE = 0.5;
     /** What a run that saves its progress loses by a stop: the restoring of its state. */
     private static final long RESTORE_MILLIS = 600;
     /** How much work may be lost for a task, as a part of what the task itself needs. */
@@ -200,12 +202,17 @@
                 || task.phase() == Task.Phase.RUNNING && task.millisToEnd(nowNanos) <= SOON_MILLIS;
     }
 
+    private static long leastSpareMillis(Job job)
+    {
+        return Math.max(STOP_COST_MILLIS, (long) (LEAST_SPARE * job.wholeSpareMillis()));
+    }
+
     private boolean mayStop(Task task, Step urgent)
     {
         Step step = task.step();
         boolean lessUrgent = step.job().queue().priority() > urgent.job().queue().priority();
         boolean single = !step.spec().longRunning() && !step.spec().gang();
         return task.phase() == Task.Phase.RUNNING && lessUrgent && single
-                && step.job().spareMillis(wallMillis) >= STOP_COST_MILLIS;
+                && step.job().spareMillis(wallMillis) >= leastSpareMillis(step.job());
     }
 }
