Proofs of preemption; a test that could not fail now does

runsThatDoNotSaveAreStoppedOnlyWhereLittleIsLost passed with the limit taken out: its runs were so near their end that they were waited for.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RoomReservations.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RoomReservations.java
@@ -34,7 +34,7 @@
         reservations.add(new Reservation(step, slot, endNanos));
     }
 
-    /** Drops what has run out and what its step does not need any more. */
+    /** Drops what has run out, and what its job or its worker has no use for any more. */
     void dropOld(long nowNanos)
     {
         reservations.removeIf(reservation -> nowNanos - reservation.endNanos >= 0
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -110,7 +110,7 @@
     {
         accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, false));
         plan();
-        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(450));
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(400));
         accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
         assertThat(stops(plan())).isEmpty();
     }
