--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -176,7 +176,7 @@
         root.start("store-probe", new StoreProbe(store, JobKeys.OWNER));
         root.start("peers", new KeyFollower(store, JobKeys.BOXES, registry, events));
         root.start("election", election);
-        root.start("rehearsal", new OwnerRehearsal(election, SCORE));
+        root.start("rehearsal", new OwnerRehearsal(election, registry, SCORE));
     }
 
     private void answerReadiness(HttpExchange exchange) throws InterruptedException
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
@@ -44,32 +44,39 @@
     private static final int TASK_CPU = 2_000;
     private static final int MEMORY_MIB = 65_536;
     private static final long RUN_MILLIS = 500;
-    private static final long RETRY_MILLIS = 100;
+    private static final long RETRY_MILLIS = 500;
+    private static final String NO_BOX = "";
     private static final String SERVICE = "rehearsal";
     private static final QueueSpec URGENT = new QueueSpec("urgent", SERVICE, 0, 2, 250, 1.5, null);
     private static final QueueSpec PATIENT = new QueueSpec("patient", SERVICE, 2, 2, 250, 30, null);
 
     private final OwnerElection election;
+    private final OwnerElection.Ranking ranking;
     private final WorkerScore score;
 
     /**
      * @param election tells whether another box owns the cell
+     * @param ranking tells whether other boxes would own it before this one
      * @param score rates workers
      */
-    public OwnerRehearsal(OwnerElection election, WorkerScore score)
+    public OwnerRehearsal(OwnerElection election, OwnerElection.Ranking ranking, WorkerScore score)
     {
         this.election = election;
+        this.ranking = ranking;
         this.score = score;
     }
 
-    /** Rehearses, with pauses so that callers are served meanwhile, unless this box owns the cell. */
+    /**
+     * Rehearses, with pauses so that callers are served meanwhile, unless this box owns the cell or
+     * stronger ones would own it first.
+     */
     @Override
     public void run() throws InterruptedException
     {
         int rounds = 0;
         while (rounds < ROUNDS && !election.isOwner())
         {
-            if (election.owner().isEmpty())
+            if (election.owner().isEmpty() || ranking.isOutranked(NO_BOX))
             {
                 Thread.sleep(RETRY_MILLIS);
                 continue;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerRehearsalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerRehearsalTest.java
@@ -15,7 +15,7 @@
     @Test
     void eachRoundBringsAllItsJobsToTheirEnd()
     {
-        OwnerRehearsal rehearsal = new OwnerRehearsal(null, new WaitingFirstScore(0.5));
+        OwnerRehearsal rehearsal = new OwnerRehearsal(null, null, new WaitingFirstScore(0.5));
         assertThat(rehearsal.playRound()).isEqualTo(12);
         assertThat(rehearsal.playRound()).isEqualTo(12);
     }
