Logs: each refusal that a caller gets, and tries that are still open when one fails

Cause: no line told what a caller was answered where the job's intake was not asked (no configuration yet, no such queue), nor that a write was still under way in another try when one try of it failed. The hypotheses of the incident could not be told apart. Change: E523 for each refusal, before it is sent; the failure of one of several tries says how many others are open. Measured: HedgedCallTest, CallerRelayTest, JobIntakeTest and the catalogue of events pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -87,6 +87,7 @@
         }
         catch (GaugehollowException e)
         {
+            recordRefusal(exchange.request(), e);
             if (!mayHelpElsewhere(e.code()))
             {
                 throw e;
@@ -95,6 +96,13 @@
         }
     }
 
+    /** Recorded before the answer is sent: a box may die directly after that. */
+    private void recordRefusal(HttpMessage request, GaugehollowException e)
+    {
+        events.record(EventType.CALL_REFUSED, request.path(), request.method() + ' ' + e.code().httpStatus()
+                + ' ' + e.code() + ", " + e.code().outcome().label() + ": " + e.getMessage());
+    }
+
     /** Answers a request, over a peer if need be. */
     HttpReply answer(HttpMessage request) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -75,6 +75,8 @@
             "A caller's request was handed to a peer, because the store does not answer this box."),
     JOB_READ(522, Level.INFO,
             "The owner read a job of which a peer told it and its watch did not; the text says if that failed."),
+    CALL_REFUSED(523, Level.INFO,
+            "A caller was answered with a refusal; the text gives the answer and what it says of the request."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change is in force on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read anew."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write whose answer was lost was settled by reading."),
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.model.GaugehollowException;
 
@@ -52,11 +53,12 @@
     public static <T> T first(Call<T> call) throws InterruptedException
     {
         CompletableFuture<T> result = new CompletableFuture<>();
+        AtomicInteger open = new AtomicInteger();
         try
         {
             for (int i = 1; i < MOST; i++)
             {
-                Thread.ofVirtual().name("hedged-call").start(() -> complete(result, call));
+                Thread.ofVirtual().name("hedged-call").start(() -> complete(result, call, open));
                 try
                 {
                     return result.get(NEXT_MILLIS, TimeUnit.MILLISECONDS);
@@ -66,7 +68,7 @@
                     // the next try goes out beside this one
                 }
             }
-            complete(result, call);
+            complete(result, call, open);
             return result.get();
         }
         catch (ExecutionException e)
@@ -75,12 +77,21 @@
         }
     }
 
-    private static <T> void complete(CompletableFuture<T> result, Call<T> call)
+    private static <T> void complete(CompletableFuture<T> result, Call<T> call, AtomicInteger open)
     {
+        open.incrementAndGet();
         try
         {
             result.complete(call.run());
         }
+        catch (GaugehollowException e)
+        {
+            int others = open.decrementAndGet();
+            result.completeExceptionally(others == 0
+                    ? e
+                    : new GaugehollowException(e.code(), e.getMessage() + "; " + others + " tries still open",
+                            e));
+        }
         catch (InterruptedException e)
         {
             Thread.currentThread().interrupt();
