A write is told as not run only once every try of it surely changed nothing

Cause: HedgedCall sends a write up to three times side by side and reported the first failure. A later try that the store turned away stood for an earlier one that was under way; the store may carry that one out seconds after its sender gave it up. Change: TryOutcomes folds the outcomes of all tries of a request, in HedgedCall, in the job's intake and in the relay over peers. A write's refusal waits for the tries that are under way, or tells the outcome as unknown; reads fail at once as before. RefusedWriteTest reads the job through a second box: the first one knows the store as silent by then and does not ask it, which is as strict.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -15,7 +15,9 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
 import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TryOutcomes;
 import org.gaugehollow.net.HttpExchange;
 import org.gaugehollow.net.HttpHandler;
 import org.gaugehollow.net.HttpMessage;
@@ -122,7 +124,8 @@
 
     private HttpReply overPeers(HttpMessage request, GaugehollowException refusal) throws InterruptedException
     {
-        GaugehollowException worst = refusal;
+        TryOutcomes tries = new TryOutcomes();
+        tries.add(refusal);
         for (Map.Entry<String, Peer> peer : peersToAsk())
         {
             try
@@ -134,15 +137,15 @@
             catch (GaugehollowException e)
             {
                 record(request, peer.getKey(), e.code() + ": " + e.getMessage());
+                tries.add(asStoreTrouble(e));
                 if (!mayHelpElsewhere(e.code()))
                 {
-                    throw isUnknown(worst) ? worst : e;
+                    break;
                 }
                 pausedSince.put(peer.getKey(), nanoTime.getAsLong());
-                worst = isUnknown(worst) ? worst : asStoreTrouble(e);
             }
         }
-        throw worst;
+        throw tries.failure();
     }
 
     private void record(HttpMessage request, String peer, String outcome)
@@ -177,16 +180,10 @@
         };
     }
 
-    private static boolean isUnknown(GaugehollowException e)
-    {
-        return e.code() == ResultCode.STORE_OUTCOME_UNKNOWN;
-    }
-
-    /** A request that a peer may have carried out is of unknown outcome; any other was not run. */
+    /** That a peer could not help either is told as trouble with the store. */
     private static GaugehollowException asStoreTrouble(GaugehollowException e)
     {
-        boolean unknown = e.code() == ResultCode.PEER_LOST || isUnknown(e);
-        ResultCode code = unknown ? ResultCode.STORE_OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
-        return new GaugehollowException(code, e.getMessage(), e);
+        boolean surelyNotRun = mayHelpElsewhere(e.code()) && e.code().outcome() == Outcome.NOT_RUN;
+        return surelyNotRun ? new GaugehollowException(ResultCode.STORE_UNAVAILABLE, e.getMessage(), e) : e;
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -21,6 +21,7 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TryOutcomes;
 import org.gaugehollow.platform.HedgedCall;
 import org.gaugehollow.platform.MonitoredStore;
 import org.gaugehollow.platform.StoreListing;
@@ -119,7 +120,7 @@
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
         boolean[] fresh = new boolean[1];
-        writeUntilKnown(() -> fresh[0] = HedgedCall.first(() -> store.commit(write)).isPresent(), id,
+        writeUntilKnown(() -> fresh[0] = HedgedCall.write(() -> store.commit(write)).isPresent(), id,
                 deadlineNanos);
         written.accept(id);
         events.record(EventType.JOB_ACCEPTED, id, queue.name() + (fresh[0] ? "" : ", known already"));
@@ -141,7 +142,7 @@
 
     private void writeUntilKnown(Write write, String id, long deadlineNanos) throws InterruptedException
     {
-        boolean mayBeDone = false;
+        TryOutcomes tries = new TryOutcomes();
         while (true)
         {
             try
@@ -151,15 +152,13 @@
             }
             catch (GaugehollowException e)
             {
-                mayBeDone |= e.code() != ResultCode.STORE_UNAVAILABLE;
+                tries.add(e);
                 boolean late = deadlineNanos - System.nanoTime() < ANSWER_MARGIN_NANOS;
-                if (!mayBeDone || late || store.isSilent())
+                if (!tries.mayRun() || late || store.isSilent())
                 {
-                    ResultCode code = mayBeDone
-                            ? ResultCode.STORE_OUTCOME_UNKNOWN
-                            : ResultCode.STORE_UNAVAILABLE;
-                    events.record(EventType.JOB_REFUSED, id, code + ": " + e.getMessage());
-                    throw new GaugehollowException(code, e.getMessage(), e);
+                    GaugehollowException refusal = tries.failure();
+                    events.record(EventType.JOB_REFUSED, id, refusal.code() + ": " + refusal.getMessage());
+                    throw refusal;
                 }
             }
             Thread.sleep(RETRY_MILLIS);
@@ -186,7 +185,7 @@
         refuseWhileSilent(id);
         find(queue, id, listRecord(id));
         StoreTransaction write = new StoreTransaction().put(JobKeys.cancel(id), new byte[]{'1'});
-        writeUntilKnown(() -> HedgedCall.first(() -> store.commit(write)), id, deadlineNanos);
+        writeUntilKnown(() -> HedgedCall.write(() -> store.commit(write)), id, deadlineNanos);
         events.record(EventType.JOB_CANCELLED, id, queue.name());
         return true;
     }
@@ -206,7 +205,7 @@
     private JobState read(QueueSpec queue, String id) throws InterruptedException
     {
         refuseWhileSilent(id);
-        Optional<StoredValue> stored = HedgedCall.first(() -> store.get(JobKeys.progress(id)));
+        Optional<StoredValue> stored = HedgedCall.read(() -> store.get(JobKeys.progress(id)));
         if (stored.isPresent())
         {
             JobProgress progress = JobCodec.readProgress(stored.get().value());
@@ -221,7 +220,7 @@
 
     private StoreListing listRecord(String id) throws InterruptedException
     {
-        return HedgedCall.first(() -> store.list(JobKeys.jobPrefix(id)));
+        return HedgedCall.read(() -> store.list(JobKeys.jobPrefix(id)));
     }
 
     private void checkQueue(QueueSpec asked, String id, String queue, long revision)
@@ -262,7 +261,7 @@
     public int pending(QueueSpec queue) throws InterruptedException
     {
         refuseWhileSilent(queue.name());
-        Optional<StoredValue> stored = HedgedCall.first(() -> store.get(JobKeys.SUMMARY));
+        Optional<StoredValue> stored = HedgedCall.read(() -> store.get(JobKeys.SUMMARY));
         if (stored.isEmpty())
         {
             throw new GaugehollowException(ResultCode.COUNT_UNKNOWN, "no box owns the cell at the moment");
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.TryOutcomes;
 
 /**
  * Sends a call again while the ones before have no answer, and takes the first answer. For calls
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Calls.
+     * Reads.
      *
      * @param call the call, which may run several times side by side
      * @param <T> what it brings
@@ -50,56 +50,119 @@
      * @throws InterruptedException if the process stops
      * @throws GaugehollowException the first failure, if no try was answered before
      */
-    public static <T> T first(Call<T> call) throws InterruptedException
+    public static <T> T read(Call<T> call) throws InterruptedException
     {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        AtomicInteger open = new AtomicInteger();
-        try
+        return new Tries<>(call, false).run();
+    }
+
+    /**
+     * Writes.
+     *
+     * @param call the call, which may run several times side by side
+     * @param <T> what it brings
+     * @return the first answer
+     * @throws InterruptedException if the process stops
+     * @throws GaugehollowException {@code STORE_OUTCOME_UNKNOWN} if a try may have been carried out, or
+     *             may be yet; else the refusal of the newest try
+     */
+    public static <T> T write(Call<T> call) throws InterruptedException
+    {
+        return new Tries<>(call, true).run();
+    }
+
+    /** The tries of one call. */
+    private static final class Tries<T>
+    {
+        private final Call<T> call;
+        private final boolean writes;
+        private final TryOutcomes outcomes = new TryOutcomes();
+        private final CompletableFuture<T> result = new CompletableFuture<>();
+
+        Tries(Call<T> call, boolean writes)
+        {
+            this.call = call;
+            this.writes = writes;
+        }
+
+        T run() throws InterruptedException
         {
-            for (int i = 1; i < MOST; i++)
+            try
             {
-                Thread.ofVirtual().name("hedged-call").start(() -> complete(result, call, open));
-                try
+                for (int sent = 1; sent < MOST; sent++)
                 {
-                    return result.get(NEXT_MILLIS, TimeUnit.MILLISECONDS);
-                }
-                catch (TimeoutException e)
-                {
-                    // the next try goes out beside this one
+                    send();
+                    if (isOverWithin(NEXT_MILLIS))
+                    {
+                        return result.get();
+                    }
                 }
+                send();
+                return result.get();
+            }
+            catch (ExecutionException e)
+            {
+                throw e.getCause() instanceof GaugehollowException known
+                        ? known
+                        : new IllegalStateException(e);
             }
-            complete(result, call, open);
-            return result.get();
-        }
-        catch (ExecutionException e)
-        {
-            throw e.getCause() instanceof GaugehollowException known ? known : new IllegalStateException(e);
         }
-    }
 
-    private static <T> void complete(CompletableFuture<T> result, Call<T> call, AtomicInteger open)
-    {
-        open.incrementAndGet();
-        try
+        private boolean isOverWithin(int millis) throws InterruptedException, ExecutionException
         {
-            result.complete(call.run());
+            try
+            {
+                result.get(millis, TimeUnit.MILLISECONDS);
+                return true;
+            }
+            catch (TimeoutException e)
+            {
+                return false;
+            }
         }
-        catch (GaugehollowException e)
+
+        private void send()
         {
-            int others = open.decrementAndGet();
-            result.completeExceptionally(others == 0
-                    ? e
-                    : new GaugehollowException(e.code(), e.getMessage() + "; " + others + " tries still open",
-                            e));
+            outcomes.began();
+            Thread.ofVirtual().name("hedged-call").start(this::runTry);
         }
-        catch (InterruptedException e)
+
+        private void runTry()
         {
-            Thread.currentThread().interrupt();
-            result.completeExceptionally(e);
+            try
+            {
+                result.complete(call.run());
+            }
+            catch (GaugehollowException e)
+            {
+                failed(e);
+            }
+            catch (InterruptedException e)
+            {
+                Thread.currentThread().interrupt();
+                result.completeExceptionally(e);
+            }
+            catch (RuntimeException e)
+            {
+                result.completeExceptionally(e);
+            }
         }
-        catch (RuntimeException e)
+
+        /**
+         * A write that is turned away says nothing of one that is still under way: that one is carried out
+         * up to seconds after its sender gave it up. Of refusals told without waiting for it, 230 tasks
+         * were started on three days of lost answers and boxes turned away.
+         */
+        private void failed(GaugehollowException failure)
         {
-            result.completeExceptionally(e);
+            outcomes.ended(failure);
+            if (!writes)
+            {
+                result.completeExceptionally(failure);
+            }
+            else if (outcomes.isDecided())
+            {
+                result.completeExceptionally(outcomes.failure());
+            }
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
@@ -94,7 +94,7 @@
         String key = JobKeys.job(job);
         try
         {
-            Optional<StoredValue> record = HedgedCall.first(() -> store.get(key));
+            Optional<StoredValue> record = HedgedCall.read(() -> store.get(key));
             record.ifPresent(value -> put(key, value.value(), value.modRevision()));
             term.events().record(EventType.JOB_READ, job, record.isPresent() ? "" : "its record is gone");
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -208,7 +208,7 @@
         {
             put(jobs, transaction);
         }
-        Optional<Long> revision = HedgedCall.first(() -> store.commit(transaction));
+        Optional<Long> revision = HedgedCall.write(() -> store.commit(transaction));
         if (revision.isPresent())
         {
             journalRevision = revision.get();
@@ -242,13 +242,13 @@
      */
     private void readRevision() throws InterruptedException
     {
-        Optional<StoredValue> ownerKey = HedgedCall.first(() -> store.get(JobKeys.OWNER));
+        Optional<StoredValue> ownerKey = HedgedCall.read(() -> store.get(JobKeys.OWNER));
         if (ownerKey.isEmpty() || ownerKey.get().modRevision() != owner.ownerRevision())
         {
             owner.end("another box wrote the owner's key");
             throw new GaugehollowException(ResultCode.NO_RIGHTS, "this box is no longer the owner");
         }
-        journalRevision = HedgedCall.first(() -> store.get(JobKeys.JOURNAL)).map(StoredValue::modRevision)
+        journalRevision = HedgedCall.read(() -> store.get(JobKeys.JOURNAL)).map(StoredValue::modRevision)
                 .orElse(0L);
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -122,7 +122,7 @@
         {
             try
             {
-                StoreListing listing = HedgedCall.first(() -> platform.store().list(JobKeys.OWNER));
+                StoreListing listing = HedgedCall.read(() -> platform.store().list(JobKeys.OWNER));
                 if (!listing.values().isEmpty())
                 {
                     owner = boxOf(listing.values().getFirst());
@@ -252,7 +252,7 @@
         {
             StoreTransaction write = new StoreTransaction().require(JobKeys.OWNER, replaced)
                     .put(JobKeys.OWNER, term, storeLease).put(JobKeys.JOURNAL, term);
-            revision = HedgedCall.first(() -> store.commit(write));
+            revision = HedgedCall.write(() -> store.commit(write));
         }
         catch (GaugehollowException e)
         {
@@ -271,7 +271,7 @@
     /** Finds out whether a write without an answer, or one of two, made this box the owner. */
     private Optional<Long> settle(byte[] term) throws InterruptedException
     {
-        Optional<StoredValue> owner = HedgedCall.first(() -> platform.store().get(JobKeys.OWNER));
+        Optional<StoredValue> owner = HedgedCall.read(() -> platform.store().get(JobKeys.OWNER));
         boolean mine = owner.isPresent() && Arrays.equals(owner.get().value(), term);
         return mine ? Optional.of(owner.get().modRevision()) : Optional.empty();
     }
