--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -39,6 +39,7 @@
     private boolean watchesSilent;
     private Interruption afterCommit;
     private String lastWritten;
+    private String refused;
 
     /** @param count so many next commits take effect and then fail */
     public void loseAnswers(int count)
@@ -70,6 +71,12 @@
         lastWritten = prefix;
     }
 
+    /** @param prefix commits that write a key that starts with it fail without effect; null for none */
+    public synchronized void loseWritesOf(String prefix)
+    {
+        refused = prefix;
+    }
+
     public void afterNextCommit(Interruption interruption)
     {
         afterCommit = interruption;
@@ -116,9 +123,9 @@
         checkUp();
         largestTransaction = Math.max(largestTransaction,
                 transaction.conditions().size() + transaction.writes().size());
-        if (writesToLose > 0)
+        if (writesToLose > 0 || isRefused(transaction))
         {
-            writesToLose--;
+            writesToLose = Math.max(0, writesToLose - 1);
             throw new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN, "lost on the way");
         }
         boolean holds = transaction.conditions().stream().allMatch(
@@ -135,6 +142,11 @@
         return holds ? Optional.of(revision) : Optional.empty();
     }
 
+    private boolean isRefused(StoreTransaction transaction)
+    {
+        return refused != null && transaction.writes().stream().anyMatch(w -> w.key().startsWith(refused));
+    }
+
     private void apply(List<StoreTransaction.Write> writes) throws InterruptedException
     {
         revision++;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -36,6 +36,7 @@
     private StartOrder lostStart;
     private boolean otherLife;
     private boolean silent;
+    private boolean closed;
 
     /** The next starts are not carried out and not answered; the last of them can arrive late. */
     synchronized void loseStarts(int count)
@@ -94,6 +95,12 @@
         return startsAsked;
     }
 
+    /** Whether a session with it was closed. */
+    synchronized boolean isClosed()
+    {
+        return closed;
+    }
+
     synchronized int unnoted()
     {
         return ends.size();
@@ -194,8 +201,8 @@
     }
 
     @Override
-    public void close()
+    public synchronized void close()
     {
-        // nothing is open
+        closed = true;
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -7,6 +7,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
     private static final byte[] TERM = "term".getBytes(StandardCharsets.UTF_8);
     /** What the platform's store takes at once. */
     private static final int MOST_ENTRIES = 32;
+    private static final String TASK = TestJobs.ID + ".0.0.0";
     private static final byte[] OTHER = "other".getBytes(StandardCharsets.UTF_8);
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
@@ -129,6 +131,46 @@
         assertThat(written.await(2, TimeUnit.SECONDS)).isTrue();
     }
 
+    /**
+     * A job was cancelled while a write of its progress from before was under way. When that write was
+     * through the job was over, and it was dropped although the store did not know of its end yet. Ends
+     * of its runs that workers listed then were ends of an unknown job, and were taken note of at once.
+     */
+    @Test
+    void aJobThatCameToItsEndDuringAWriteIsKeptUntilThatIsWrittenToo() throws InterruptedException
+    {
+        JobRecord record = TestJobs.job(TestJobs.ID, TestJobs.step(1, 1, List.of()));
+        Job job;
+        synchronized (ledger)
+        {
+            ledger.accept(record, 1, null, 0);
+            job = ledger.find(TASK).step().job();
+        }
+        List<Job> changed = new ArrayList<>();
+        store.afterNextCommit(() ->
+        {
+            synchronized (ledger)
+            {
+                changed.addAll(ledger.cancel(TestJobs.ID).changed());
+            }
+        });
+        assertThat(isWritten(job)).isTrue();
+        assertThat(changed).containsExactly(job);
+        assertThat(stored()).isEqualTo(JobState.QUEUED);
+        assertThat(isKnown()).isTrue();
+        assertThat(isWritten(job)).isTrue();
+        assertThat(stored()).isEqualTo(JobState.CANCELLED);
+        assertThat(isKnown()).isFalse();
+    }
+
+    private boolean isKnown()
+    {
+        synchronized (ledger)
+        {
+            return ledger.find(TASK) != null;
+        }
+    }
+
     @Test
     void theStoreSaysWhyItDidNotWrite()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobCodec;
@@ -281,6 +282,63 @@
         assertThat(TestJobs.within(3_000, () -> worker.unnoted() == 0)).isTrue();
     }
 
+    private boolean isEndRead()
+    {
+        return events.since(0).stream().anyMatch(event -> event.name().equals(EventType.RUN_ENDED.name()));
+    }
+
+    /**
+     * A run ended well while the store took no progress, so its end stayed open. The worker's entry
+     * went from the store and came back, and a new session took the place of the one that waited for
+     * the write. The worker listed the end once more, to an owner that held the task for done: nothing
+     * changed, nothing was to be written, and the end was taken note of. Then the owner was replaced;
+     * its successor found the end neither in the store nor at the worker and started the task again.
+     */
+    @Test
+    void anEndStaysOpenUntilItIsWrittenAlsoWhereANewSessionListsIt() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(TestJobs.within(3_000, () -> !worker.begun().isEmpty())).isTrue();
+        platform.fakeStore().loseWritesOf(JobKeys.PROGRESS);
+        worker.end(TASK, RunEnd.DONE);
+        assertThat(TestJobs.within(3_000, this::isEndRead)).isTrue();
+        platform.unlist("w1");
+        assertThat(TestJobs.within(3_000, worker::isClosed)).isTrue();
+        platform.list("w1");
+        assertThat(TestJobs.within(2_500, () -> worker.unnoted() == 0)).isFalse();
+        platform.fakeStore().loseWritesOf(null);
+        assertThat(TestJobs.within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
+        assertThat(TestJobs.within(3_000, () -> worker.unnoted() == 0)).isTrue();
+    }
+
+    /**
+     * The end of one member stands for its gang. Another member's end changed nothing any more and was
+     * taken note of at once, although the store had the progress of neither. Had the first member's
+     * worker died then, no later owner could have known that the gang was done.
+     */
+    @Test
+    void theEndsOfAllMembersOfAGangStayOpenUntilItIsWritten() throws InterruptedException
+    {
+        FakeWorker first = platform.addWorker("w1");
+        FakeWorker second = platform.addWorker("w2");
+        beginTerm();
+        accept(TestJobs.gang(2, 10_000));
+        assertThat(TestJobs.within(3_000, () -> !first.begun().isEmpty() && !second.begun().isEmpty()))
+                .isTrue();
+        platform.fakeStore().loseWritesOf(JobKeys.PROGRESS);
+        second.setSilent(true);
+        first.end(first.begun().getFirst().replace("/1", ""), RunEnd.DONE);
+        assertThat(TestJobs.within(3_000, this::isEndRead)).isTrue();
+        second.end(second.begun().getFirst().replace("/1", ""), RunEnd.DONE);
+        second.setSilent(false);
+        assertThat(TestJobs.within(2_500, () -> second.unnoted() == 0)).isFalse();
+        platform.fakeStore().loseWritesOf(null);
+        assertThat(TestJobs.within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
+        assertThat(TestJobs.within(3_000, () -> first.unnoted() + second.unnoted() == 0)).isTrue();
+    }
+
     @Test
     void nothingIsStartedOnAWorkerThatDoesNotAnswerLooks() throws InterruptedException
     {
