An end is taken note of only once the store has its job's progress

Each job counts the changes of its progress and those that the store has. A look that lists an end of a job with an unwritten change waits for the write, whether or not the end changes anything: another session, another look or another member of a gang may have read it first. A job that is over is dropped only when nothing of it is left to write. A session no longer reads its own open ends again; they are in its recording, and each look at a store in trouble would ask for one more write.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -27,7 +27,15 @@
     private final Set<Job> changed = new LinkedHashSet<>();
     private final List<Stop> stops = new ArrayList<>();
 
+    /** A job's progress has changed. */
     void changed(Job job)
+    {
+        job.changed();
+        changed.add(job);
+    }
+
+    /** A job's progress changed before, and the store may lack that. */
+    void unwritten(Job job)
     {
         changed.add(job);
     }
@@ -43,6 +51,7 @@
         stops.add(new Stop(slot, taskName, run, null));
     }
 
+    /** The jobs whose progress is to be written. */
     Set<Job> changed()
     {
         return changed;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -34,6 +34,9 @@
     private final TreeMap<Integer, List<Step>> rounds = new TreeMap<>();
     private JobState state = JobState.QUEUED;
     private QueueSpec queue;
+    private long changes;
+    private long changesInWrite;
+    private long changesWritten;
 
     Job(JobRecord record, long acceptedRevision)
     {
@@ -225,6 +228,30 @@
         return name.index() < tasks.size() ? tasks.get(name.index()) : null;
     }
 
+    /** Its progress has changed in a way that the store has to know. */
+    void changed()
+    {
+        changes++;
+    }
+
+    /** Its progress as it stands is about to be written. */
+    void beginWrite()
+    {
+        changesInWrite = changes;
+    }
+
+    /** The store has the progress whose write began last. */
+    void endWrite()
+    {
+        changesWritten = changesInWrite;
+    }
+
+    /** Whether the store may lack a change of its progress. */
+    boolean isUnwritten()
+    {
+        return changesWritten < changes;
+    }
+
     void setQueue(QueueSpec newest)
     {
         queue = newest;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -169,6 +169,7 @@
     {
         synchronized (ledger)
         {
+            job.endWrite();
             ledger.dropIfOver(job);
         }
         batches.forEach(Batch::written);
@@ -227,6 +228,7 @@
         int room = MOST_RECORDS - jobs.size();
         for (Job job : jobs)
         {
+            job.beginWrite();
             transaction.put(JobKeys.progress(job.id()), JobCodec.writeProgress(job.progress()));
             if (job.state().isFinal() && room > 0)
             {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -155,10 +155,10 @@
         cancelledEarly.remove(id);
     }
 
-    /** Drops jobs of which nothing is left to do; their final state must have been written. */
+    /** Drops a job of which nothing is left to do or to write: ends of its runs are then ignored. */
     void dropIfOver(Job job)
     {
-        if (job.state().isFinal() && job.occupying().isEmpty())
+        if (job.state().isFinal() && job.occupying().isEmpty() && !job.isUnwritten())
         {
             jobs.remove(job.id());
             finished.put(job.id(), nanoTime.getAsLong());
@@ -248,7 +248,7 @@
      *
      * @param slot the worker
      * @param answer its answer
-     * @param lastSeen the number of the last end that was taken note of before
+     * @param lastSeen the number of the last end that was read before
      * @param sentNanos when the look was sent
      * @return what changed
      */
@@ -325,12 +325,18 @@
         {
             return;
         }
+        Job job = task.step().job();
+        // An end that changes nothing any more may be known to this owner only, from an earlier look or
+        // from another member of its gang: it too stays open until the store has it.
+        if (job.isUnwritten())
+        {
+            effects.unwritten(job);
+        }
         if (!task.isAt(slot, end.run()))
         {
             endOfCopy(task, slot, end, effects);
             return;
         }
-        Job job = task.step().job();
         effects.changed(job);
         saveCheckpoint(task, end.checkpoint());
         if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
@@ -204,7 +204,9 @@
 
         private static void write(Job job)
         {
+            job.beginWrite();
             JobCodec.readProgress(JobCodec.writeProgress(job.progress()));
+            job.endWrite();
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -127,7 +127,7 @@
     private void took(HoldAnswer answer, long sentNanos)
     {
         noteReach(true, answer.result());
-        long newest = lastSeen;
+        long newest = recordingUpTo;
         for (EndedRun end : answer.ended())
         {
             newest = Math.max(newest, end.number());
@@ -135,9 +135,10 @@
         Effects effects;
         synchronized (term.ledger())
         {
-            effects = term.ledger().look(slot, answer, lastSeen, sentNanos);
+            // Ends that this session has read before are in its recording already.
+            effects = term.ledger().look(slot, answer, recordingUpTo, sentNanos);
         }
-        term.logEnds(slot, answer, lastSeen);
+        term.logEnds(slot, answer, recordingUpTo);
         orders.adjustPaces();
         orders.sendOpenStops();
         CompletableFuture<Void> written = new CompletableFuture<>();
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
@@ -134,6 +134,25 @@
         assertThat(task.failures()).isEqualTo(1);
     }
 
+    @Test
+    void anEndListedAgainIsToBeWrittenUntilItIs()
+    {
+        ledger.accept(TestJobs.job(TestJobs.ID, TestJobs.step(2, 500, List.of())), 1, null, 0);
+        Planner.Start start = plan().getFirst();
+        started(start);
+        Job job = taskOf(start).step().job();
+        HoldAnswer answer = TestJobs.answer(List.of(),
+                List.of(TestJobs.ended(1, taskOf(start), RunEnd.DONE)));
+        job.beginWrite();
+        assertThat(ledger.look(start.slot(), answer, 0, later()).changed()).containsExactly(job);
+        job.endWrite();
+        assertThat(ledger.look(start.slot(), answer, 0, later()).changed()).containsExactly(job);
+        job.beginWrite();
+        assertThat(ledger.look(start.slot(), answer, 0, later()).changed()).containsExactly(job);
+        job.endWrite();
+        assertThat(ledger.look(start.slot(), answer, 0, later()).changed()).isEmpty();
+    }
+
     @Test
     void aStartWithoutAnAnswerCountsAsRunningUntilItIsSettled()
     {
