--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -42,6 +42,7 @@
     private boolean watchesSilent;
     private Interruption afterCommit;
     private String lastWritten;
+    private String refused;
 
     /** @param count so many next commits take effect and then fail */
     public void loseAnswers(int count)
@@ -100,6 +101,12 @@
         lastWritten = prefix;
     }
 
+    /** @param prefix commits that write a key that starts with it fail without effect; null for none */
+    public synchronized void loseWritesOf(String prefix)
+    {
+        refused = prefix;
+    }
+
     public void afterNextCommit(Interruption interruption)
     {
         afterCommit = interruption;
@@ -167,9 +174,9 @@
         checkUp();
         largestTransaction = Math.max(largestTransaction,
                 transaction.conditions().size() + transaction.writes().size());
-        if (writesToLose > 0)
+        if (writesToLose > 0 || isRefused(transaction))
         {
-            writesToLose--;
+            writesToLose = Math.max(0, writesToLose - 1);
             throw new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN, "lost on the way");
         }
         boolean holds = holds(transaction);
@@ -191,6 +198,11 @@
                 c -> (keys.containsKey(c.key()) ? keys.get(c.key()).modRevision() : 0) == c.modRevision());
     }
 
+    private boolean isRefused(StoreTransaction transaction)
+    {
+        return refused != null && transaction.writes().stream().anyMatch(w -> w.key().startsWith(refused));
+    }
+
     private void apply(List<StoreTransaction.Write> writes) throws InterruptedException
     {
         revision++;
