Tests: what is said of a request that several tries were made for

Cause: two answers of a relay can say "not run" though an earlier try of the same request is open. One is given where the peers cannot be found after this box's own write had no answer; the other where this box's own outcome is open under another code than STORE_OUTCOME_UNKNOWN and a peer refuses. Change: each code of a peer is put after each open outcome. Two tests show what holds for a job and a cancellation that one box left open while another box was refused by the store.

--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/OutcomeOverBoxesTest.java
@@ -0,0 +1,264 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.MonitoredStore;
+import org.gaugehollow.platform.StoreListing;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
+import org.junit.jupiter.api.Test;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+
+/**
+ * What is said of a request that was tried more than once: by one box over its peers, or by a
+ * caller at one box after the other.
+ */
+class OutcomeOverBoxesTest
+{
+    private static final String ID = "00000000000000aa";
+    private static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
+    private static final JobSpec JOB = new JobSpec("text", List.of(new StepSpec(1, 1, 1, 0, 1, List.of(),
+            false, false, false, null, null, 0, false, false, null, 0, false, 0)), 0, 0, 0);
+    private static final HttpMessage REQUEST = new HttpMessage("POST", "/queue/" + ID, "",
+            new DefaultHttpHeaders(), "{}".getBytes(StandardCharsets.UTF_8));
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakeStore store = new FakeStore();
+
+    /** One box's way to the store: writes stay open and may be done later, or all calls are refused. */
+    private final class Way extends FakeStore
+    {
+        private final List<StoreTransaction> open = new ArrayList<>();
+        private boolean refusing;
+        private int sent;
+
+        private void sent()
+        {
+            if (refusing)
+            {
+                throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE, "the store answered 503");
+            }
+            sent++;
+        }
+
+        @Override
+        public synchronized Optional<StoredValue> get(String key)
+        {
+            sent();
+            return store.get(key);
+        }
+
+        @Override
+        public synchronized StoreListing list(String prefix)
+        {
+            sent();
+            return store.list(prefix);
+        }
+
+        @Override
+        public synchronized Optional<Long> commit(StoreTransaction transaction)
+        {
+            sent();
+            open.add(transaction);
+            throw new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN, "no answer in time");
+        }
+
+        void carryOutLate() throws InterruptedException
+        {
+            for (StoreTransaction transaction : open)
+            {
+                store.commit(transaction);
+            }
+        }
+    }
+
+    private JobIntake intake(FakeStore way)
+    {
+        return new JobIntake(new MonitoredStore(way, events, System::nanoTime), id ->
+        {
+        }, events, new Metrics());
+    }
+
+    private static long in(long millis)
+    {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    /** A call that is expected to fail. */
+    private interface ThrowingCall
+    {
+        void run() throws InterruptedException;
+    }
+
+    private static ResultCode codeOf(ThrowingCall call)
+    {
+        return assertThrows(GaugehollowException.class, call::run).code();
+    }
+
+    /**
+     * A box that the store refuses speaks of the try that it was handed. A write that another box left
+     * open is done later all the same, and no request says that there was an earlier try.
+     */
+    @Test
+    void aBoxThatTheStoreRefusesKnowsNothingOfAWriteThatAnotherBoxLeftOpen() throws InterruptedException
+    {
+        Way first = new Way();
+        Way second = new Way();
+        second.refusing = true;
+        assertThat(codeOf(() -> intake(first).submit(QUEUE, ID, JOB, in(400))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        assertThat(codeOf(() -> intake(second).submit(QUEUE, ID, JOB, in(400))))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(second.sent).isEqualTo(0);
+        assertThat(store.list(JobKeys.JOBS).values()).isEmpty();
+        first.carryOutLate();
+        assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
+        assertThat(intake(store).state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+    }
+
+    /** A cancellation left open by one box is done later, whatever another box said in between. */
+    @Test
+    void aCancellationLeftOpenByOneBoxIsDoneAfterAnotherBoxWasRefused() throws InterruptedException
+    {
+        intake(store).submit(QUEUE, ID, JOB, in(400));
+        Way first = new Way();
+        Way second = new Way();
+        second.refusing = true;
+        assertThat(codeOf(() -> intake(first).cancel(QUEUE, ID, in(400))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        assertThat(codeOf(() -> intake(second).cancel(QUEUE, ID, in(400))))
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        first.carryOutLate();
+        assertThat(intake(store).state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
+    }
+
+    private static List<ResultCode> refusals(Outcome outcome)
+    {
+        return Arrays.stream(ResultCode.values()).filter(code -> code.outcome() == outcome).toList();
+    }
+
+    private static List<ResultCode> refusals()
+    {
+        return Arrays.stream(ResultCode.values()).filter(code -> code.outcome() != Outcome.ANSWERED).toList();
+    }
+
+    private static CallerService refusing(ResultCode code)
+    {
+        return request ->
+        {
+            throw new GaugehollowException(code, "own");
+        };
+    }
+
+    /** A relay whose peers refuse with these codes, in this order, whichever is asked first. */
+    private CallerRelay relay(ResultCode own, ResultCode... peerCodes)
+    {
+        AtomicInteger asked = new AtomicInteger();
+        Map<String, CallerRelay.Peer> peers = new LinkedHashMap<>();
+        for (int i = 0; i < peerCodes.length; i++)
+        {
+            peers.put("peer-" + i, request ->
+            {
+                throw new GaugehollowException(peerCodes[asked.getAndIncrement()], "peer");
+            });
+        }
+        return new CallerRelay(refusing(own), () -> peers, events, System::nanoTime);
+    }
+
+    private static Outcome outcome(CallerRelay relay)
+    {
+        return codeOf(() -> relay.answer(REQUEST)).outcome();
+    }
+
+    @Test
+    void aWriteOfThisBoxThatIsOpenIsNotSettledByWhatAPeerSays()
+    {
+        for (ResultCode peer : refusals())
+        {
+            assertWithMessage(peer.name()).that(outcome(relay(ResultCode.STORE_OUTCOME_UNKNOWN, peer)))
+                    .isEqualTo(Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    void aRequestThatOnePeerMayHaveRunIsNotSettledByWhatTheNextOneSays()
+    {
+        for (ResultCode lost : refusals(Outcome.UNKNOWN))
+        {
+            for (ResultCode next : refusals())
+            {
+                assertWithMessage(lost + ", then " + next)
+                        .that(outcome(relay(ResultCode.STORE_UNAVAILABLE, lost, next)))
+                        .isEqualTo(Outcome.UNKNOWN);
+            }
+        }
+    }
+
+    @Test
+    void anOpenOutcomeOfThisBoxStaysOpenWhateverItsCode()
+    {
+        for (ResultCode own : refusals(Outcome.UNKNOWN))
+        {
+            for (ResultCode peer : refusals())
+            {
+                assertWithMessage(own + ", then " + peer).that(outcome(relay(own, peer)))
+                        .isEqualTo(Outcome.UNKNOWN);
+            }
+        }
+    }
+
+    /**
+     * This box's own write had no answer, and then its way to a peer could not be made, because an
+     * address in the list of boxes cannot be read. The caller was told the latter, which says that
+     * nothing was run.
+     */
+    @Test
+    void anOpenOutcomeStaysOpenWherePeersCannotBeFound()
+    {
+        CallerRelay relay = new CallerRelay(refusing(ResultCode.STORE_OUTCOME_UNKNOWN), () ->
+        {
+            throw new GaugehollowException(ResultCode.RESOURCE_INVALID, "not an address");
+        }, events, System::nanoTime);
+        assertThat(outcome(relay)).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void whereNoTryMayHaveRunTheRequestWasNotRun()
+    {
+        for (ResultCode peer : refusals(Outcome.NOT_RUN))
+        {
+            assertWithMessage(peer.name()).that(outcome(relay(ResultCode.STORE_UNAVAILABLE, peer)))
+                    .isEqualTo(Outcome.NOT_RUN);
+        }
+    }
+}
