A relay keeps an outcome open whatever the code that left it open

Cause: CallerRelay took only STORE_OUTCOME_UNKNOWN of this box for open, and a failure to find peers was told in the place of this box's own refusal. Change: an outcome is open where its code says so; where peers cannot be found, the own refusal stands and the failure is in the log.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -15,6 +15,7 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpExchange;
 import org.gaugehollow.net.HttpHandler;
@@ -115,7 +116,7 @@
     private HttpReply overPeers(HttpMessage request, GaugehollowException refusal) throws InterruptedException
     {
         GaugehollowException worst = refusal;
-        for (Map.Entry<String, Peer> peer : peersToAsk())
+        for (Map.Entry<String, Peer> peer : peersToAsk(request))
         {
             try
             {
@@ -142,9 +143,23 @@
         events.record(EventType.CALL_RELAYED, request.path(), "over " + peer + ": " + outcome);
     }
 
-    private List<Map.Entry<String, Peer>> peersToAsk() throws InterruptedException
+    /** Where peers cannot be found, what this box knows of its own try still is the answer. */
+    private Map<String, Peer> findPeers(HttpMessage request) throws InterruptedException
     {
-        Map<String, Peer> known = peers.find();
+        try
+        {
+            return peers.find();
+        }
+        catch (GaugehollowException e)
+        {
+            record(request, "nobody", e.code() + ": " + e.getMessage());
+            return Map.of();
+        }
+    }
+
+    private List<Map.Entry<String, Peer>> peersToAsk(HttpMessage request) throws InterruptedException
+    {
+        Map<String, Peer> known = findPeers(request);
         pausedSince.values().removeIf(since -> nanoTime.getAsLong() - since > PAUSE_NANOS);
         List<Map.Entry<String, Peer>> usable = new ArrayList<>();
         for (Map.Entry<String, Peer> peer : known.entrySet())
@@ -171,14 +186,13 @@
 
     private static boolean isUnknown(GaugehollowException e)
     {
-        return e.code() == ResultCode.STORE_OUTCOME_UNKNOWN;
+        return e.code().outcome() == Outcome.UNKNOWN;
     }
 
     /** A request that a peer may have carried out is of unknown outcome; any other was not run. */
     private static GaugehollowException asStoreTrouble(GaugehollowException e)
     {
-        boolean unknown = e.code() == ResultCode.PEER_LOST || isUnknown(e);
-        ResultCode code = unknown ? ResultCode.STORE_OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
+        ResultCode code = isUnknown(e) ? ResultCode.STORE_OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
         return new GaugehollowException(code, e.getMessage(), e);
     }
 }
