Tests: changes of resources that cannot be settled

Cause: a change whose answer was lost is settled by a read. Where that read is turned away, its code is told for the change: "nothing was changed". Where another operator has removed the resource since, the change is told as a conflict. Change: three tests, for a change, a removal and a resource that is gone. Result: 10 tests of ResourceStoreTest, 3 fail: STORE_UNAVAILABLE twice and REVISION_CONFLICT once, for STORE_OUTCOME_UNKNOWN.

--- a/gaugehollow/src/test/java/org/gaugehollow/config/ResourceStoreTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/config/ResourceStoreTest.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.function.Executable;
 
@@ -28,8 +29,8 @@
 {
     private static final String NAME = "workloads/goal";
     private final FakeStore store = new FakeStore();
-    private final ResourceStore resources = new ResourceStore(store,
-            new EventLog("test", new HybridClock(System::currentTimeMillis)));
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final ResourceStore resources = new ResourceStore(store, events);
 
     private static JsonNode spec(int value)
     {
@@ -93,6 +94,69 @@
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
     }
 
+    /** A store that goes down as soon as it has said that a condition does not hold. */
+    private static FakeStore goingDownAfterAConflict()
+    {
+        return new FakeStore()
+        {
+            @Override
+            public synchronized Optional<Long> commit(StoreTransaction transaction)
+                    throws InterruptedException
+            {
+                Optional<Long> revision = super.commit(transaction);
+                setDown(revision.isEmpty());
+                return revision;
+            }
+        };
+    }
+
+    /**
+     * The store applied a change and its answer was lost. The same write sent again met its own effect,
+     * and the read that was to settle it was turned away. The operator was told that nothing was
+     * changed, because the code of that read stood for the write.
+     */
+    @Test
+    void aChangeThatCannotBeSettledIsNotToldAsNotMade() throws Exception
+    {
+        FakeStore failing = goingDownAfterAConflict();
+        ResourceStore writes = new ResourceStore(failing, events);
+        failing.loseAnswers(1);
+        assertThat(failure(() -> writes.put(NAME, Optional.empty(), spec(1))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        failing.setDown(false);
+        assertThat(failing.get(StoreKeys.CONFIG + NAME)).isPresent();
+    }
+
+    /** The same, for a removal. */
+    @Test
+    void aRemovalThatCannotBeSettledIsNotToldAsNotMade() throws Exception
+    {
+        FakeStore failing = goingDownAfterAConflict();
+        ResourceStore writes = new ResourceStore(failing, events);
+        ConfigEntry created = writes.put(NAME, Optional.empty(), spec(1));
+        failing.loseAnswers(1);
+        assertThat(failure(() -> writes.delete(NAME, created.revision())))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        failing.setDown(false);
+        assertThat(failing.get(StoreKeys.CONFIG + NAME)).isEmpty();
+    }
+
+    /**
+     * A change was applied and its answer was lost; then another operator removed the resource. Nothing
+     * is left that holds the ids of its writes, and the first operator was told that the change was not
+     * made.
+     */
+    @Test
+    void aChangeOfAResourceThatIsGoneIsNotToldAsNotMade() throws Exception
+    {
+        ConfigEntry created = resources.put(NAME, Optional.empty(), spec(1));
+        store.loseAnswers(1);
+        store.afterNextCommit(
+                () -> resources.delete(NAME, store.get(StoreKeys.CONFIG + NAME).orElseThrow().modRevision()));
+        assertThat(failure(() -> resources.put(NAME, Optional.of(created.revision()), spec(2))))
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+    }
+
     @Test
     void aStoreThatCannotBeReachedLeavesEverythingAsItWas()
     {
