A change that cannot be settled is told as open

Cause: the failure of the settling read went to the operator as it was, and a resource that is gone counted as proof that the change was not made. Change: both are told as STORE_OUTCOME_UNKNOWN with the id of the write.

--- a/gaugehollow/src/main/java/org/gaugehollow/config/ResourceStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/config/ResourceStore.java
@@ -134,8 +134,7 @@
             }
             Thread.sleep(SETTLE_PAUSE_MILLIS << attempt);
         }
-        throw new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN, "the store did not say whether "
-                + name + " was changed; read it before you try again (write id " + writeId + ")");
+        throw outcomeOpen(name, writeId);
     }
 
     private static boolean leavesOutcomeOpen(GaugehollowException e, boolean maybeApplied)
@@ -148,22 +147,43 @@
         };
     }
 
-    /** Returns what the store holds now if this write was applied, even if a later one followed it. */
+    /** Reads a key that tells of a write; without it the write's outcome stays open. */
+    private Optional<StoredValue> readToSettle(String key, String name, String writeId)
+            throws InterruptedException
+    {
+        try
+        {
+            return store.get(key);
+        }
+        catch (GaugehollowException e)
+        {
+            throw outcomeOpen(name, writeId);
+        }
+    }
+
+    /**
+     * Returns what the store holds now if this write was applied, even if a later one followed it. A
+     * resource that is gone may have been removed before this write or after it.
+     */
     private ConfigEntry settlePut(String name, String writeId) throws InterruptedException
     {
-        Optional<StoredValue> now = store.get(StoreKeys.CONFIG + name);
-        boolean applied = now.isPresent() && envelopeOf(now.get().value()).holds(writeId);
+        Optional<StoredValue> now = readToSettle(StoreKeys.CONFIG + name, name, writeId);
+        if (now.isEmpty())
+        {
+            throw outcomeOpen(name, writeId);
+        }
+        boolean applied = envelopeOf(now.get().value()).holds(writeId);
         recordSettled(name, applied);
         if (!applied)
         {
-            throw conflict(name, now.map(StoredValue::modRevision).orElse(0L));
+            throw conflict(name, now.get().modRevision());
         }
         return new ConfigEntry(name, now.get().modRevision(), now.get().value(), false);
     }
 
     private long settleDelete(String name, String writeId) throws InterruptedException
     {
-        Optional<StoredValue> removal = store.get(StoreKeys.removal(name));
+        Optional<StoredValue> removal = readToSettle(StoreKeys.removal(name), name, writeId);
         boolean applied = removal.isPresent()
                 && writeId.equals(new String(removal.get().value(), StandardCharsets.UTF_8));
         recordSettled(name, applied);
@@ -190,6 +210,12 @@
         return Json.read(bytes, Envelope.class, ResultCode.STORE_BAD_ANSWER);
     }
 
+    private static GaugehollowException outcomeOpen(String name, String writeId)
+    {
+        return new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN, "the store did not say whether "
+                + name + " was changed; read it before you try again (write id " + writeId + ")");
+    }
+
     private static GaugehollowException conflict(String name, long found)
     {
         String state = found == 0 ? "it does not exist" : "its revision is " + found;
