Tests: how a peer's process or a connection ends, and what that says of a request

Cause: it was open whether each end of a peer, before and after it sent the write, and each end of a call (closed event loops, a used connection, an interrupted thread) is told as open where the request may have been carried out. Change: tests only; no fault was found.

--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerEndTest.java
@@ -0,0 +1,323 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Outcome;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.PeerLink;
+import org.gaugehollow.peer.PeerServer;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+
+/** What is said of a request whose peer ends, before and after it sent the write. */
+class PeerEndTest
+{
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+    private static final StoreTransaction WRITE = new StoreTransaction().require("job", 0).put("job",
+            new byte[]{1});
+    private static final long LONGEST_SECONDS = 5;
+
+    private final NetLoops loops = new NetLoops(Optional.empty());
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakeStore store = new FakeStore();
+    private final CountDownLatch reached = new CountDownLatch(1);
+    private final CountDownLatch goOn = new CountDownLatch(1);
+
+    @AfterEach
+    void end()
+    {
+        goOn.countDown();
+        loops.close();
+    }
+
+    private PeerServer peer(CallerService service)
+    {
+        return new PeerServer(loops, ANY_PORT, events, call -> RelayPeer.handle(call.getRelay(), service));
+    }
+
+    private PeerLink link(InetSocketAddress target)
+    {
+        return new PeerLink(loops, target, events, new Metrics());
+    }
+
+    /** The code for a request that the store refuses here and that goes to one peer. */
+    private ResultCode codeOver(PeerLink link)
+    {
+        CallerRelay relay = new CallerRelay(request ->
+        {
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE, "own");
+        }, () -> Map.of("peer", new RelayPeer(link)), events, System::nanoTime);
+        HttpMessage request = new HttpMessage("POST", "/queue/job", "", new DefaultHttpHeaders(),
+                new byte[0]);
+        return assertThrows(GaugehollowException.class, () -> relay.answer(request)).code();
+    }
+
+    private HttpReply write() throws InterruptedException
+    {
+        store.commit(WRITE);
+        return HttpReply.json(200, Map.of());
+    }
+
+    private void await(CountDownLatch latch) throws InterruptedException
+    {
+        assertThat(latch.await(LONGEST_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Runs beside a call, once the peer has reached a certain point. */
+    private interface Meanwhile
+    {
+        void run() throws InterruptedException;
+    }
+
+    private Thread onceReached(Meanwhile action)
+    {
+        return Thread.ofVirtual().start(() ->
+        {
+            try
+            {
+                await(reached);
+                action.run();
+            }
+            catch (InterruptedException e)
+            {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    @Test
+    void aPeerThatEndsAfterItsWriteLeavesTheOutcomeOpen() throws InterruptedException
+    {
+        CallerService service = request ->
+        {
+            HttpReply reply = write();
+            reached.countDown();
+            await(goOn);
+            return reply;
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            Thread end = onceReached(peer::close);
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+            end.join();
+            assertThat(store.commits()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aPeerThatIsCutOffBeforeItsWriteLeavesTheOutcomeOpenAndMayStillWrite() throws Exception
+    {
+        CountDownLatch written = new CountDownLatch(1);
+        CallerService service = request ->
+        {
+            reached.countDown();
+            await(goOn);
+            HttpReply reply = write();
+            written.countDown();
+            return reply;
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            Thread end = onceReached(peer::close);
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+            end.join();
+            assertThat(store.commits()).isEqualTo(0);
+            goOn.countDown();
+            await(written);
+            assertThat(store.commits()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aLinkThatIsClosedDuringTheCallLeavesTheOutcomeOpen() throws InterruptedException
+    {
+        CallerService service = request ->
+        {
+            reached.countDown();
+            await(goOn);
+            return write();
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            Thread end = onceReached(link::close);
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+            end.join();
+        }
+    }
+
+    @Test
+    void aLinkThatIsClosedBeforeTheCallSendsNothing()
+    {
+        try (PeerServer peer = peer(request -> write()))
+        {
+            PeerLink link = link(peer.address());
+            link.close();
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+            assertThat(store.commits()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void aPeerThatDoesNotAnswerInTimeLeavesTheOutcomeOpen() throws InterruptedException
+    {
+        CallerService service = request ->
+        {
+            await(goOn);
+            return write();
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        }
+    }
+
+    @Test
+    void aFaultInsideThePeerAfterItsWriteLeavesTheOutcomeOpen()
+    {
+        CallerService service = request ->
+        {
+            write();
+            throw new IllegalStateException("after the write");
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            assertThat(codeOver(link).outcome()).isEqualTo(Outcome.UNKNOWN);
+            assertThat(store.commits()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void anErrorInsideThePeerAfterItsWriteLeavesTheOutcomeOpen()
+    {
+        CallerService service = request ->
+        {
+            write();
+            throw new StackOverflowError("after the write");
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            assertThat(codeOver(link).outcome()).isEqualTo(Outcome.UNKNOWN);
+            assertThat(store.commits()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aPeerThatIsInterruptedLeavesTheOutcomeOpen()
+    {
+        CallerService service = request ->
+        {
+            write();
+            throw new InterruptedException("the process stops");
+        };
+        try (PeerServer peer = peer(service); PeerLink link = link(peer.address()))
+        {
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        }
+    }
+
+    @Test
+    void aPeerThatNobodyListensForWasSurelyNotReached() throws IOException
+    {
+        int port;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")))
+        {
+            port = unused.getLocalPort();
+        }
+        try (PeerLink link = link(new InetSocketAddress("127.0.0.1", port)))
+        {
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        }
+    }
+
+    @Test
+    void aPeerThatTakesTheConnectionAndEndsLeavesTheOutcomeOpen() throws IOException
+    {
+        try (ServerSocket ending = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                PeerLink link = link((InetSocketAddress) ending.getLocalSocketAddress()))
+        {
+            Thread.ofVirtual().start(() -> takeAndEnd(ending));
+            assertThat(codeOver(link)).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        }
+    }
+
+    private static void takeAndEnd(ServerSocket listener)
+    {
+        try (Socket taken = listener.accept())
+        {
+            // a byte of the call has come, so the link has begun to send
+            assertThat(taken.getInputStream().read()).isAtLeast(0);
+        }
+        catch (IOException e)
+        {
+            // the test has ended
+        }
+    }
+
+    /** A link that was used before finds that its peer has ended, and nobody listens any more. */
+    @Test
+    void aPeerThatEndedBetweenCallsDidNothing()
+    {
+        AtomicInteger handled = new AtomicInteger();
+        CallerService service = request ->
+        {
+            handled.incrementAndGet();
+            throw new GaugehollowException(ResultCode.UNKNOWN_QUEUE, "asked");
+        };
+        PeerServer peer = peer(service);
+        try (PeerLink link = link(peer.address()))
+        {
+            assertThat(codeOver(link)).isEqualTo(ResultCode.UNKNOWN_QUEUE);
+            peer.close();
+            ResultCode code = codeOver(link);
+            assertThat(code).isAnyOf(ResultCode.STORE_UNAVAILABLE, ResultCode.STORE_OUTCOME_UNKNOWN);
+            assertThat(handled.get()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void closedEventLoopsLeaveACallThatIsUnderWayOpen() throws InterruptedException
+    {
+        NetLoops own = new NetLoops(Optional.empty());
+        CallerService service = request ->
+        {
+            HttpReply reply = write();
+            reached.countDown();
+            await(goOn);
+            return reply;
+        };
+        try (PeerServer peer = peer(service);
+                PeerLink link = new PeerLink(own, peer.address(), events, new Metrics()))
+        {
+            Thread end = onceReached(own::close);
+            assertThat(codeOver(link).outcome()).isEqualTo(Outcome.UNKNOWN);
+            end.join();
+        }
+    }
+}
