--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -23,10 +23,20 @@
 {
     private static final String WORKERS = "workers/";
 
-    private final FakeStore store = new FakeStore();
+    private final FakeStore store;
     private final Map<String, FakeWorker> workers = new HashMap<>();
     private volatile AdvicePort advice = (step, ids, timeout) -> new Advice(List.of(), 0);
 
+    FakePlatform()
+    {
+        this(new FakeStore());
+    }
+
+    FakePlatform(FakeStore store)
+    {
+        this.store = store;
+    }
+
     /** Lists a worker; its state must have been set before. */
     FakeWorker addWorker(String id) throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -20,7 +20,6 @@
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
-import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.supervise.Supervisor;
 import org.junit.jupiter.api.AfterEach;
@@ -36,7 +35,7 @@
     private static final byte[] OTHER = "other".getBytes(StandardCharsets.UTF_8);
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
-    private final FakeStore store = new FakeStore();
+    private final LateStore store = new LateStore();
     private final Ledger ledger = new Ledger(System::nanoTime, 0);
     private final Supervisor supervisor = new Supervisor("test", events);
     private OwnerLease owner;
@@ -104,6 +103,23 @@
                 .put(JobKeys.progress(TestJobs.ID), OTHER))).isEmpty();
     }
 
+    /**
+     * One try is turned away while the one before it is open; the latter must not undo what follows.
+     */
+    @Test
+    void aWriteThatWasTurnedAwayOnceIsNotTakenForNotDone() throws InterruptedException
+    {
+        Job job = job();
+        store.holdNextWriteOf(JobKeys.JOURNAL);
+        assertThat(isWritten(job)).isTrue();
+        job.setState(JobState.COMPLETED);
+        assertThat(isWritten(job)).isTrue();
+        store.awaitCarriedOut();
+        assertThat(stored()).isEqualTo(JobState.COMPLETED);
+        assertThat(isWritten(job)).isTrue();
+        assertThat(owner.isOver()).isFalse();
+    }
+
     @Test
     void anOwnerThatWasReplacedWritesNothingMore() throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -27,7 +27,8 @@
     private static final int CLOCK_SPEED = 20;
 
     private final EventLog events = new EventLog("bole-2", new HybridClock(System::currentTimeMillis));
-    private final FakePlatform platform = new FakePlatform();
+    private final LateStore store = new LateStore();
+    private final FakePlatform platform = new FakePlatform(store);
     private final FakeOwnerProbe probe = new FakeOwnerProbe(OTHER, "bole-3", "bole-4");
     private final Supervisor supervisor = new Supervisor("test", events);
     private volatile boolean outranked;
@@ -132,6 +133,24 @@
         assertThat(TestJobs.within(3_000, () -> election.isOwner())).isTrue();
     }
 
+    /**
+     * The write that would make this box the owner is open, and the same write sent beside it is turned
+     * away. Neither tells that the first one is carried out later: the key then names a term of which
+     * this box knows nothing, and the cell has an owner again once the lease of that term is over.
+     */
+    @Test
+    void aTermThatTheStoreBeginsLateIsNeitherServedNorInTheWayForLong() throws InterruptedException
+    {
+        store.holdNextWriteOf(JobKeys.OWNER);
+        stand();
+        store.awaitCarriedOut();
+        assertThat(TestJobs.within(6_000, () -> election.isOwner())).isTrue();
+        StoredValue key = ownerKey();
+        assertThat(new String(key.value(), StandardCharsets.UTF_8)).startsWith("bole-2/");
+        assertThat(TestJobs.within(1_500, () -> !election.isOwner())).isFalse();
+        assertThat(ownerKey().modRevision()).isEqualTo(key.modRevision());
+    }
+
     @Test
     void anOwnerHandsTheCellToABoxOfHigherRank() throws InterruptedException
     {
