Test: a cancelled job of which only a peer tells the owner

Cause: the owner reads the record of a job that a peer tells of, and not its cancellation, so it starts a cancelled job while its watch hears nothing. Change: a test. Result: OwnerTermTest, 17 tests, 1 fails (aCancelledJobThatAPeerTellsOfIsNotStarted).

--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -167,6 +167,27 @@
         assertThat(TestJobs.within(500, () -> worker.begun().size() > 2)).isFalse();
     }
 
+    /**
+     * A peer tells the owner of a job that was cancelled in the meantime, while the owner's watch hears
+     * nothing. The owner read the job's record alone, not its cancellation, and started its task long
+     * after the cancellation had been acknowledged.
+     */
+    @Test
+    void aCancelledJobThatAPeerTellsOfIsNotStarted() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        beginTerm();
+        accept(ONE);
+        assertThat(TestJobs.within(3_000, () -> worker.begun().equals(List.of(TASK + "/1")))).isTrue();
+        platform.fakeStore().silenceWatches(true);
+        acceptAnother();
+        platform.store().commit(new StoreTransaction().put(JobKeys.cancel(OTHER_ID), new byte[]{'1'}));
+        term.noteWritten(OTHER_ID);
+        assertThat(TestJobs.within(1_500, () -> worker.begun().size() > 1)).isFalse();
+        platform.fakeStore().silenceWatches(false);
+        assertThat(TestJobs.within(500, () -> worker.begun().size() > 1)).isFalse();
+    }
+
     @Test
     void aJobThatIsOverIsNotStartedByTheNextOwner() throws InterruptedException
     {
