The owner reads a job that a peer tells of with its cancellation

Cause: only the job's record was read, so a job that had been cancelled was started while the owner's watch heard nothing. Change: the record and the cancellation are read by one listing and taken together.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
@@ -5,8 +5,8 @@
 package org.gaugehollow.schedule;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.JobCodec;
@@ -76,8 +76,8 @@
     }
 
     /**
-     * A box has written the record of a job. It is read if the watch does not tell of it soon; a watch
-     * may hear nothing for a while though the store answers.
+     * A box has written the record of a job. It is read if the watch does not tell of it soon, with the
+     * job's cancellation; a watch may hear nothing for a while though the store answers.
      */
     void noteWritten(String job)
     {
@@ -91,12 +91,15 @@
         {
             return;
         }
-        String key = JobKeys.job(job);
         try
         {
-            Optional<StoredValue> record = HedgedCall.first(() -> store.get(key));
-            record.ifPresent(value -> put(key, value.value(), value.modRevision()));
-            term.events().record(EventType.JOB_READ, job, record.isPresent() ? "" : "its record is gone");
+            List<StoredValue> found = HedgedCall.first(() -> store.list(JobKeys.jobPrefix(job))).values();
+            boolean there = found.stream().anyMatch(value -> value.key().equals(JobKeys.job(job)));
+            if (there)
+            {
+                putWhole(found);
+            }
+            term.events().record(EventType.JOB_READ, job, there ? "" : "its record is gone");
         }
         catch (GaugehollowException e)
         {
@@ -104,6 +107,15 @@
         }
     }
 
+    /** Nothing of a job is started between its record and its cancellation. */
+    private void putWhole(List<StoredValue> values)
+    {
+        synchronized (term.ledger())
+        {
+            values.forEach(value -> put(value.key(), value.value(), value.modRevision()));
+        }
+    }
+
     private boolean isKnown(String job)
     {
         synchronized (term.ledger())
