Tests: what a key's owner vouches for once its rights have ended

Cause: a box whose rights ended while it noted a key answers "not run" with the word of the key's owner. Another box may own the key by then, so the caller may be told "not run" for a key that an earlier ask of it has run. Change: three tests with a successor that takes or refuses the copy.

--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/entry/KeyedRunnerTest.java
@@ -0,0 +1,160 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.config.ConfigKeeper;
+import org.gaugehollow.config.StoreKeys;
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.keys.KeyCopier;
+import org.gaugehollow.keys.KeyLimits;
+import org.gaugehollow.keys.KeyOwnership;
+import org.gaugehollow.keys.KeyTable;
+import org.gaugehollow.keys.ReplicaTable;
+import org.gaugehollow.membership.BoxIdentity;
+import org.gaugehollow.membership.HallView;
+import org.gaugehollow.membership.Rights;
+import org.gaugehollow.model.ConfigEntry;
+import org.gaugehollow.model.HallMap;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.model.KeySlots;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.model.TaskClass;
+import org.gaugehollow.model.TeamSpec;
+import org.gaugehollow.model.WorkloadSpec;
+import org.gaugehollow.net.NetAddress;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.peer.PeerServer;
+import org.gaugehollow.peer.generated.PeerProtocol.Answer;
+import org.gaugehollow.peer.generated.PeerProtocol.CopyCall;
+import org.gaugehollow.peer.generated.PeerProtocol.CopyReply;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the owner of a key says of an ask that was not run. */
+class KeyedRunnerTest
+{
+    private static final String HALL = "hall";
+    private static final String SELF = "box-1";
+    private static final String SUCCESSOR = "box-2";
+    private static final long RIGHTS_MILLIS = 60_000;
+    private static final KeyLimits LIMITS = new KeyLimits(60_000, 200, 5);
+    private static final WorkloadSpec WORKLOAD = new WorkloadSpec(TaskClass.BATCH, null, 0, false, 0, null);
+    private static final TeamSpec TEAM = new TeamSpec(HALL, 0, 0);
+
+    private final NetLoops loops = new NetLoops(Optional.empty());
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final Metrics metrics = new Metrics();
+    private final Rights rights = new Rights(RIGHTS_MILLIS, RIGHTS_MILLIS, System::nanoTime);
+    private final PeerDirectory directory = new PeerDirectory(loops, events, metrics);
+    private final PeerServer successor = new PeerServer(loops, new InetSocketAddress("127.0.0.1", 0), events,
+            call -> keep(call.getCopy()));
+    private volatile boolean keepsRecords = true;
+    private volatile boolean rightsEndWithTheCopy;
+    private KeyedRunner runner;
+
+    @BeforeEach
+    void own()
+    {
+        rights.renewed(System.nanoTime());
+        BoxIdentity self = new BoxIdentity(SELF, SELF, HALL, "127.0.0.1:1");
+        ConfigKeeper keeper = new ConfigKeeper();
+        HallView halls = new HallView(HALL, keeper, events);
+        keeper.applyOwn(new ConfigEntry(StoreKeys.hallMap(HALL), 1, Json.write(map(self)), false));
+        KeyTable table = new KeyTable(LIMITS, System::currentTimeMillis);
+        KeyCopier copier = new KeyCopier(self, halls, directory, table);
+        new KeyOwnership(SELF, table, new ReplicaTable(SELF), copier, System::currentTimeMillis, events)
+                .follow(map(self));
+        RequestSupport support = new RequestSupport(self, null, halls, rights, null, directory, null, metrics,
+                events);
+        runner = new KeyedRunner(support, table, copier, null);
+    }
+
+    @AfterEach
+    void end()
+    {
+        successor.close();
+        directory.close();
+        loops.close();
+    }
+
+    /** A hall of two boxes, in which this box owns all keys. */
+    private HallMap map(BoxIdentity self)
+    {
+        Map<String, HallMap.MapBox> boxes = new LinkedHashMap<>();
+        boxes.put(SELF, self.asMapBox());
+        boxes.put(SUCCESSOR, new HallMap.MapBox(SUCCESSOR, NetAddress.format(successor.address())));
+        List<HallMap.Assignment> owners = new ArrayList<>();
+        for (int slot = 0; slot < KeySlots.COUNT; slot++)
+        {
+            owners.add(new HallMap.Assignment(SELF, 1));
+        }
+        return new HallMap(1, boxes, Map.of(), owners);
+    }
+
+    private Frame.Builder keep(CopyCall call)
+    {
+        boolean record = call.getRecordsCount() > 0;
+        if (record && rightsEndWithTheCopy)
+        {
+            rights.lost();
+        }
+        return Frame.newBuilder().setCopyReply(CopyReply.newBuilder().setAccepted(!record || keepsRecords));
+    }
+
+    private Answer ask() throws InterruptedException
+    {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        return runner.ask(new CallerRequest("task", "team", "goal", "key", System.currentTimeMillis(),
+                deadline, "text/plain", new byte[0], 0, false), WORKLOAD, TEAM);
+    }
+
+    /**
+     * A box noted a key, and its rights ended before it ran the request. It said "not run" with the
+     * word of the key's owner, although another box may own the key by then and run an earlier ask.
+     */
+    @Test
+    void aBoxWhoseRightsHaveEndedGivesNoEvidenceThatTheKeyDidNotRun() throws InterruptedException
+    {
+        rightsEndWithTheCopy = true;
+        Answer answer = ask();
+        assertThat(Answers.codeOf(answer)).isEqualTo(ResultCode.NO_RIGHTS);
+        assertThat(answer.getEvidence()).isFalse();
+    }
+
+    /** The same, where the copy failed while the rights ended. */
+    @Test
+    void aBoxWhoseRightsEndedWhileNoCopyWasKeptGivesNoEvidence() throws InterruptedException
+    {
+        keepsRecords = false;
+        rightsEndWithTheCopy = true;
+        Answer answer = ask();
+        assertThat(Answers.notRun(answer)).isTrue();
+        assertThat(answer.getEvidence()).isFalse();
+    }
+
+    @Test
+    void theOwnerOfAKeyKnowsThatItDidNotRun() throws InterruptedException
+    {
+        keepsRecords = false;
+        Answer answer = ask();
+        assertThat(Answers.codeOf(answer)).isEqualTo(ResultCode.NO_COPY);
+        assertThat(answer.getEvidence()).isTrue();
+    }
+}
