--- a/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/entry/KeyedRunner.java
@@ -80,7 +80,7 @@
         {
             Answer answer = ask.entry().answer().get(request.remainingMillis() + 1, TimeUnit.MILLISECONDS);
             boolean recorded = !ask.first() && Answers.codeOf(answer) == ResultCode.OK;
-            Answer.Builder known = answer.toBuilder().setEvidence(true);
+            Answer.Builder known = answer.toBuilder().setEvidence(!Answers.notRun(answer) || stillOwns());
             return recorded
                     ? known.setCode(ResultCode.RECORDED.number()).setRecorded(true).build()
                     : known.build();
@@ -96,6 +96,12 @@
         }
     }
 
+    /** Without rights another box may own the key by now and have run an earlier ask. */
+    private boolean stillOwns()
+    {
+        return support.rights().valid();
+    }
+
     private void runFirst(KeyEntry entry, CallerRequest request, WorkloadSpec workload, TeamSpec team)
     {
         Answer answer;
