--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -126,7 +126,7 @@
     {
         TryOutcomes tries = new TryOutcomes();
         tries.add(refusal);
-        for (Map.Entry<String, Peer> peer : peersToAsk())
+        for (Map.Entry<String, Peer> peer : peersToAsk(request))
         {
             try
             {
@@ -153,9 +153,23 @@
         events.record(EventType.CALL_RELAYED, request.path(), "over " + peer + ": " + outcome);
     }
 
-    private List<Map.Entry<String, Peer>> peersToAsk() throws InterruptedException
+    /** Where peers cannot be found, what this box knows of its own try still is the answer. */
+    private Map<String, Peer> findPeers(HttpMessage request) throws InterruptedException
     {
-        Map<String, Peer> known = peers.find();
+        try
+        {
+            return peers.find();
+        }
+        catch (GaugehollowException e)
+        {
+            record(request, "nobody", e.code() + ": " + e.getMessage());
+            return Map.of();
+        }
+    }
+
+    private List<Map.Entry<String, Peer>> peersToAsk(HttpMessage request) throws InterruptedException
+    {
+        Map<String, Peer> known = findPeers(request);
         pausedSince.values().removeIf(since -> nanoTime.getAsLong() - since > PAUSE_NANOS);
         List<Map.Entry<String, Peer>> usable = new ArrayList<>();
         for (Map.Entry<String, Peer> peer : known.entrySet())
