--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -36,11 +36,18 @@
         return worker;
     }
 
-    private void list(String id) throws InterruptedException
+    /** Lists a worker, be it for the first time or again. */
+    void list(String id) throws InterruptedException
     {
         store.commit(new StoreTransaction().put(WORKERS + id, new byte[]{1}));
     }
 
+    /** A worker is listed no more; it works on. */
+    void unlist(String id) throws InterruptedException
+    {
+        store.commit(new StoreTransaction().delete(WORKERS + id));
+    }
+
     /** What the advice service answers from now on. */
     void answerAdvice(AdvicePort answers)
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -33,6 +33,10 @@
     private long lastEnd;
     private int startsToLose;
     private int startsAsked;
+    private int stopsToLose;
+    private int looks;
+    private boolean holdsStartAnswers;
+    private boolean holdsStopAnswers;
     private StartOrder lostStart;
     private boolean otherLife;
     private boolean silent;
@@ -43,6 +47,38 @@
         startsToLose = count;
     }
 
+    /** The next stops are not carried out and not answered. */
+    synchronized void loseStops(int count)
+    {
+        stopsToLose = count;
+    }
+
+    /** Whether starts are carried out at once but answered only once this is over. */
+    synchronized void holdStartAnswers(boolean value)
+    {
+        holdsStartAnswers = value;
+        notifyAll();
+    }
+
+    /** Whether stops are carried out at once but answered only once this is over. */
+    synchronized void holdStopAnswers(boolean value)
+    {
+        holdsStopAnswers = value;
+        notifyAll();
+    }
+
+    /** How many looks at it have begun. */
+    synchronized int looks()
+    {
+        return looks;
+    }
+
+    /** Whether it has a run of the task at work. */
+    synchronized boolean isRunning(String task)
+    {
+        return running.containsKey(task);
+    }
+
     /** The lost start arrives now; returns what becomes of it. */
     synchronized OrderResult arriveLate()
     {
@@ -136,7 +172,7 @@
     }
 
     @Override
-    public synchronized OrderAnswer start(StartOrder order, int timeoutMillis)
+    public synchronized OrderAnswer start(StartOrder order, int timeoutMillis) throws InterruptedException
     {
         startsAsked++;
         if (startsToLose > 0)
@@ -145,12 +181,23 @@
             lostStart = order;
             return new OrderAnswer(OrderResult.UNKNOWN, 0);
         }
-        return new OrderAnswer(carryOut(order), 1_000);
+        OrderResult result = carryOut(order);
+        while (holdsStartAnswers)
+        {
+            wait();
+        }
+        return new OrderAnswer(result, 1_000);
     }
 
     @Override
     public synchronized OrderAnswer stop(String task, int run, long token, int timeoutMillis)
+            throws InterruptedException
     {
+        if (stopsToLose > 0)
+        {
+            stopsToLose--;
+            return new OrderAnswer(OrderResult.UNKNOWN, 0);
+        }
         OrderResult checked = check(token);
         if (checked == OrderResult.DONE)
         {
@@ -161,6 +208,10 @@
                 end(task, RunEnd.STOPPED);
             }
         }
+        while (holdsStopAnswers)
+        {
+            wait();
+        }
         return new OrderAnswer(checked, 1_000);
     }
 
@@ -173,6 +224,7 @@
     @Override
     public synchronized HoldAnswer hold(HoldOrder order, int timeoutMillis) throws InterruptedException
     {
+        looks++;
         if (silent)
         {
             wait(timeoutMillis);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LedgerTest.java
@@ -273,6 +273,22 @@
         assertThat(first.used().cpuMillis() + second.used().cpuMillis()).isEqualTo(1_000);
     }
 
+    /**
+     * A job is dropped once a write shows it as over with nothing left to do. A start that its worker
+     * refuses after the cancellation leaves nothing to do, but no write followed, so the job and its
+     * record were kept for as long as the term went on.
+     */
+    @Test
+    void aCancelledJobIsWrittenAgainOnceItsLastStartIsRefused()
+    {
+        ledger.accept(TestJobs.job(TestJobs.ID, TestJobs.step(1, 500, List.of())), 1, null, 0);
+        Task task = taskOf(plan().getFirst());
+        ledger.cancel(TestJobs.ID);
+        Effects effects = new Effects();
+        Ledger.release(task, effects);
+        assertThat(effects.changed()).containsExactly(task.step().job());
+    }
+
     @Test
     void aCancellationThatComesBeforeItsJobHolds()
     {
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -0,0 +1,84 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.supervise.Supervisor;
+
+/** A term of an owner against a platform in memory, confirmed as the election does it. */
+final class TestTerm implements AutoCloseable
+{
+    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long CONFIRM_MILLIS = 300;
+    private static final String CONFIRMATIONS = "confirmations";
+
+    private final Supervisor supervisor;
+    private final OwnerLease lease;
+    private final OwnerTerm term;
+
+    /** Begins a term of a box; whoever owned the cell before owns it no more. */
+    TestTerm(FakePlatform platform, String box) throws InterruptedException
+    {
+        EventLog events = new EventLog(box, new HybridClock(System::currentTimeMillis));
+        byte[] mark = box.getBytes(StandardCharsets.UTF_8);
+        long revision = platform.store()
+                .commit(new StoreTransaction().put(JobKeys.OWNER, mark).put(JobKeys.JOURNAL, mark))
+                .orElseThrow();
+        supervisor = new Supervisor(box, events);
+        lease = new OwnerLease(box, revision, 1);
+        term = new OwnerTerm(platform, lease, events, supervisor.child("term"), () -> CellConfig.NONE,
+                new AdviceLines(platform.advice(), events), new WaitingFirstScore(0.5), RETENTION_NANOS);
+        confirm();
+        term.begin();
+    }
+
+    /** The store confirms the term from now on, again and again. */
+    void confirm()
+    {
+        supervisor.start(CONFIRMATIONS, this::confirmForever);
+    }
+
+    private void confirmForever() throws InterruptedException
+    {
+        while (true)
+        {
+            lease.confirmed();
+            Thread.sleep(CONFIRM_MILLIS);
+        }
+    }
+
+    /** The store confirms the term no more. */
+    void stopConfirming()
+    {
+        supervisor.stop(CONFIRMATIONS);
+    }
+
+    OwnerLease lease()
+    {
+        return lease;
+    }
+
+    OwnerTerm term()
+    {
+        return term;
+    }
+
+    /** Its box is gone: it sends and writes nothing any more. */
+    @Override
+    public void close()
+    {
+        lease.end("the box is gone");
+        term.close();
+        supervisor.close();
+    }
+}
