--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -130,6 +130,19 @@
         settledNanos = nowNanos;
     }
 
+    /**
+     * A start was answered: the worker has the run. It is no answer to a stop that was decided since;
+     * taken for one, it would keep a stop that was not sent yet from ever being sent.
+     */
+    void startAnswered(long nowNanos)
+    {
+        begun(nowNanos);
+        if (phase != Phase.STOPPING)
+        {
+            settle(nowNanos);
+        }
+    }
+
     /**
      * A stop of a run was answered. Only the first answer counts, and it says nothing of a later run.
      */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
@@ -159,8 +159,7 @@
             }
             if (result == OrderResult.DONE)
             {
-                task.begun(now);
-                task.settle(now);
+                task.startAnswered(now);
                 return;
             }
             refused(task, result, now, effects);
