--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
@@ -5,8 +5,8 @@
 package org.gaugehollow.schedule;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.JobCodec;
@@ -77,7 +77,8 @@
 
     /**
      * A box has written the record of a job. It is read if the watch does not tell of it soon; a watch
-     * may hear nothing for a while though the store answers.
+     * may hear nothing for a while though the store answers. Its cancellation is read with it, so that
+     * a cancelled job is not started.
      */
     void noteWritten(String job)
     {
@@ -91,12 +92,12 @@
         {
             return;
         }
-        String key = JobKeys.job(job);
         try
         {
-            Optional<StoredValue> record = HedgedCall.first(() -> store.get(key));
-            record.ifPresent(value -> put(key, value.value(), value.modRevision()));
-            term.events().record(EventType.JOB_READ, job, record.isPresent() ? "" : "its record is gone");
+            List<StoredValue> found = HedgedCall.first(() -> store.list(JobKeys.jobPrefix(job))).values();
+            found.forEach(value -> JobKeys.idOfCancel(value.key()).ifPresent(this::cancel));
+            found.forEach(value -> put(value.key(), value.value(), value.modRevision()));
+            term.events().record(EventType.JOB_READ, job, found.isEmpty() ? "its record is gone" : "");
         }
         catch (GaugehollowException e)
         {
