--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -220,11 +220,18 @@
         release(task, effects);
     }
 
-    /** Nothing of a task runs any more where it was. */
+    /**
+     * Nothing of a task runs any more where it was; a job that is over is written, and then dropped.
+     */
     static void release(Task task, Effects effects)
     {
         task.release();
-        finishIfAllDone(task.step().job(), effects);
+        Job job = task.step().job();
+        finishIfAllDone(job, effects);
+        if (job.state().isFinal())
+        {
+            effects.changed(job);
+        }
     }
 
     private static void finishIfAllDone(Job job, Effects effects)
