--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -117,13 +117,25 @@
         synchronized (term.ledger())
         {
             long deadline = reachable ? slot.deadlineIn(LEASE_MILLIS, System.nanoTime()) : LEAVE_LEASE;
-            int busyWait = PaceKeeper.isShared(slot) ? SHARED_WAIT_MILLIS : BUSY_WAIT_MILLIS;
-            int wait = slot.isIdle() ? IDLE_WAIT_MILLIS : busyWait;
             boolean first = !slot.held();
-            return new HoldOrder(term.lease().fence(), lastSeen, deadline, blocked || first ? 0 : wait);
+            return new HoldOrder(term.lease().fence(), lastSeen, deadline,
+                    blocked || first ? 0 : waitMillis());
         }
     }
 
+    /**
+     * How long a look may wait for an end. Runs that the owner does not know are looked for soon again:
+     * where their stops got lost, they would go on for the long wait of an idle worker.
+     */
+    private int waitMillis()
+    {
+        if (slot.hasForeignRuns() || PaceKeeper.isShared(slot))
+        {
+            return SHARED_WAIT_MILLIS;
+        }
+        return slot.isIdle() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
+    }
+
     private void took(HoldAnswer answer, long sentNanos)
     {
         noteReach(true, answer.result());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -164,6 +164,12 @@
         foreignRuns = value;
     }
 
+    /** Whether the last look showed runs that the owner does not know. */
+    boolean hasForeignRuns()
+    {
+        return foreignRuns;
+    }
+
     boolean held()
     {
         return held;
