--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -121,7 +121,7 @@
                 wakeUps.drainPermits();
             }
             long begunNanos = System.nanoTime();
-            if (jobs.areListed())
+            if (jobs.areListed() && lease.mayOrder())
             {
                 planOnce();
             }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
@@ -43,7 +43,7 @@
     {
         if (hasTicketLapsed(start))
         {
-            decideAnew(start);
+            decideAnew(start, "its ticket has lapsed");
             return;
         }
         boolean mayCome = false;
@@ -52,6 +52,7 @@
             StartOrder order = startOrder(start);
             if (order == null)
             {
+                takeBack(start, mayCome);
                 return;
             }
             OrderAnswer answer = port.start(order, ORDER_MILLIS);
@@ -66,7 +67,7 @@
         stopInstead(start);
     }
 
-    /** The order for a start; null if it is no longer wanted. */
+    /** The order for a start; null if it is no longer wanted or may not be sent. */
     private StartOrder startOrder(Planner.Start start)
     {
         synchronized (term.ledger())
@@ -98,8 +99,29 @@
         }
     }
 
+    /**
+     * Settles a start that may not be sent, or not once more, because the term is not confirmed: it may
+     * be confirmed again, and the task would stay placed for good.
+     */
+    private void takeBack(Planner.Start start, boolean mayCome) throws InterruptedException
+    {
+        synchronized (term.ledger())
+        {
+            if (!isWanted(start) || term.lease().isOver())
+            {
+                return;
+            }
+        }
+        if (mayCome)
+        {
+            stopInstead(start);
+            return;
+        }
+        decideAnew(start, "the term is not confirmed");
+    }
+
     /** Takes a start back that was never sent, so that the task is placed again. */
-    private void decideAnew(Planner.Start start)
+    private void decideAnew(Planner.Start start, String why)
     {
         Effects effects = new Effects();
         synchronized (term.ledger())
@@ -111,7 +133,7 @@
             release(start.task(), effects);
         }
         term.events().record(EventType.TASK_STARTED, start.task().name(),
-                "run " + start.run() + " on " + slot.id() + ": not sent, its ticket has lapsed");
+                "run " + start.run() + " on " + slot.id() + ": not sent, " + why);
         term.apply(effects);
         term.wake();
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -63,12 +63,26 @@
     public void run() throws InterruptedException
     {
         boolean ended = false;
-        while (!ended && term.lease().mayOrder())
+        while (!ended && !term.lease().isOver())
         {
-            ended = lookOnce();
+            ended = lookIfConfirmed();
         }
     }
 
+    /**
+     * Looks at the worker once; true when the session is over. A term that is not confirmed may be
+     * confirmed again, as after a pause of the whole process, and then goes on with its workers.
+     */
+    private boolean lookIfConfirmed() throws InterruptedException
+    {
+        if (term.lease().mayOrder())
+        {
+            return lookOnce();
+        }
+        Thread.sleep(RETRY_MILLIS);
+        return false;
+    }
+
     /** Looks at the worker once; true when the session is over. */
     private boolean lookOnce() throws InterruptedException
     {
