--- a/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/WorkerStandinCommand.java
+++ b/gaugehollow-daemon/src/main/java/org/gaugehollow/daemon/WorkerStandinCommand.java
@@ -6,6 +6,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.model.GaugehollowException;
@@ -28,6 +29,9 @@
 final class WorkerStandinCommand implements Command
 {
     private static final int TIMEOUT_MILLIS = 2_000;
+    /** For so long a worker tries to tell the platform of itself before it gives up. */
+    private static final long START_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final int RETRY_MILLIS = 200;
     /** For so long a leaving worker still refuses new requests before it ends. */
     private static final long LINGER_MILLIS = 1_500;
 
@@ -85,7 +89,7 @@
         WorkerStandin worker = new WorkerStandin(loops, NetAddress.parse(listen), options);
         String advertised = advertise == null ? NetAddress.format(worker.address()) : advertise;
         HttpCaller caller = new HttpCaller(loops, NetAddress.parse(platform));
-        announce(caller, worker.rosterLine(advertised, "live", false));
+        announceUntilAnswered(caller, worker.rosterLine(advertised, "live", false));
         console.line("ready " + NetAddress.format(worker.address()));
         CountDownLatch left = new CountDownLatch(1);
         Runtime.getRuntime()
@@ -118,6 +122,31 @@
         }
     }
 
+    /**
+     * Tells the platform of the worker, again and again as a real worker does it. The call changes
+     * nothing if it was carried out before.
+     */
+    private static void announceUntilAnswered(HttpCaller caller, RosterLine line) throws InterruptedException
+    {
+        long endNanos = System.nanoTime() + START_NANOS;
+        while (true)
+        {
+            try
+            {
+                announce(caller, line);
+                return;
+            }
+            catch (GaugehollowException e)
+            {
+                if (System.nanoTime() - endNanos > 0)
+                {
+                    throw e;
+                }
+            }
+            Thread.sleep(RETRY_MILLIS);
+        }
+    }
+
     private static void announce(HttpCaller caller, RosterLine line) throws InterruptedException
     {
         caller.call("PUT", "/standin/workers", Json.write(line), TIMEOUT_MILLIS);
