--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CancelledRunsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CancelledRunsTest.java
@@ -344,4 +344,17 @@
         assertThat(TestJobs.within(SOON_MILLIS, this::isShownAsCancelled)).isTrue();
         assertThat(worker.startsAsked()).isEqualTo(0);
     }
+
+    /** The write of the record was carried out late, after the cancellation. */
+    @Test
+    void aJobWhoseRecordComesAfterItsCancellationIsNotStarted() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        cancel();
+        begin("box");
+        awaitNextLook(worker);
+        accept();
+        assertThat(TestJobs.within(SOON_MILLIS, this::isShownAsCancelled)).isTrue();
+        assertThat(worker.startsAsked()).isEqualTo(0);
+    }
 }
