--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -63,12 +63,26 @@
     public void run() throws InterruptedException
     {
         boolean ended = false;
-        while (!ended && term.lease().mayOrder())
+        while (!ended && !term.lease().isOver())
         {
-            ended = lookOnce();
+            ended = lookIfConfirmed();
         }
     }
 
+    /**
+     * Looks at the worker once; true when the session is over. A term that is not confirmed may be
+     * confirmed again, as after a pause of the whole process, and then goes on with its workers.
+     */
+    private boolean lookIfConfirmed() throws InterruptedException
+    {
+        if (term.lease().mayOrder())
+        {
+            return lookOnce();
+        }
+        Thread.sleep(RETRY_MILLIS);
+        return false;
+    }
+
     /** Looks at the worker once; true when the session is over. */
     private boolean lookOnce() throws InterruptedException
     {
@@ -117,11 +131,23 @@
         synchronized (term.ledger())
         {
             long deadline = reachable ? slot.deadlineIn(LEASE_MILLIS, System.nanoTime()) : LEAVE_LEASE;
-            int busyWait = PaceKeeper.isShared(slot) ? SHARED_WAIT_MILLIS : BUSY_WAIT_MILLIS;
-            int wait = slot.isIdle() ? IDLE_WAIT_MILLIS : busyWait;
             boolean first = !slot.held();
-            return new HoldOrder(term.lease().fence(), lastSeen, deadline, blocked || first ? 0 : wait);
+            return new HoldOrder(term.lease().fence(), lastSeen, deadline,
+                    blocked || first ? 0 : waitMillis());
+        }
+    }
+
+    /**
+     * How long a look may wait for an end. Runs that the owner does not know are looked for soon again:
+     * where their stops got lost, they would go on for the long wait of an idle worker.
+     */
+    private int waitMillis()
+    {
+        if (slot.hasForeignRuns() || PaceKeeper.isShared(slot))
+        {
+            return SHARED_WAIT_MILLIS;
         }
+        return slot.isIdle() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     }
 
     private void took(HoldAnswer answer, long sentNanos)
