--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -37,6 +37,8 @@
     private boolean otherLife;
     private boolean silent;
     private boolean closed;
+    private boolean unhealthy;
+    private boolean startsHeld;
 
     /** The next starts are not carried out and not answered; the last of them can arrive late. */
     synchronized void loseStarts(int count)
@@ -50,6 +52,20 @@
         return carryOut(lostStart);
     }
 
+    /** It turns orders away, starts only once they are let go. */
+    synchronized void turnAwayAndHoldStarts()
+    {
+        unhealthy = true;
+        startsHeld = true;
+    }
+
+    /** The starts that are held are turned away now. */
+    synchronized void letStartsGo()
+    {
+        startsHeld = false;
+        notifyAll();
+    }
+
     /** Another life answers from now on. */
     synchronized void endLife()
     {
@@ -143,9 +159,17 @@
     }
 
     @Override
-    public synchronized OrderAnswer start(StartOrder order, int timeoutMillis)
+    public synchronized OrderAnswer start(StartOrder order, int timeoutMillis) throws InterruptedException
     {
         startsAsked++;
+        while (startsHeld)
+        {
+            wait();
+        }
+        if (unhealthy)
+        {
+            return new OrderAnswer(OrderResult.UNHEALTHY, 1_000);
+        }
         if (startsToLose > 0)
         {
             startsToLose--;
@@ -158,6 +182,10 @@
     @Override
     public synchronized OrderAnswer stop(String task, int run, long token, int timeoutMillis)
     {
+        if (unhealthy)
+        {
+            return new OrderAnswer(OrderResult.UNHEALTHY, 1_000);
+        }
         OrderResult checked = check(token);
         if (checked == OrderResult.DONE)
         {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -197,6 +197,21 @@
         assertThat(platform.fakeStore().get(JobKeys.progress(TestJobs.ID)).isEmpty()).isTrue();
     }
 
+    @Test
+    void theRecordsOfAJobThatWasCancelledDuringAStartThatIsTurnedAwayAreRemoved() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        worker.turnAwayAndHoldStarts();
+        beginTerm();
+        accept(ONE);
+        assertThat(TestJobs.within(3_000, () -> worker.startsAsked() == 1)).isTrue();
+        cancel();
+        assertThat(TestJobs.within(3_000, () -> state() == JobState.CANCELLED)).isTrue();
+        worker.letStartsGo();
+        assertThat(TestJobs.within(9_000, () -> platform.fakeStore().get(JobKeys.job(TestJobs.ID)).isEmpty()))
+                .isTrue();
+    }
+
     @Test
     void anEndThatNoEarlierOwnerWroteIsKnownToTheNextOne() throws InterruptedException
     {
