A failing test: a write whose tries all end with an error never ends

Cause: HedgedCall.Tries catches exceptions only and runs every try, also the last one, on a thread of its own; an error ends the thread, and the caller waits for a result that nobody gives. Before, the last try ran on the caller's thread.

--- a/gaugehollow/src/test/java/org/gaugehollow/platform/HedgedCallTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/HedgedCallTest.java
@@ -6,7 +6,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -56,6 +58,18 @@
         assertThat(refusal.code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
     }
 
+    /** Else whoever writes, such as an owner's journal, would wait for ever. */
+    @Test
+    void aWriteOfWhichEveryTryEndsWithAnErrorEnds()
+    {
+        Throwable end = assertTimeoutPreemptively(Duration.ofSeconds(5),
+                () -> assertThrows(Throwable.class, () -> HedgedCall.write(() ->
+                {
+                    throw new OutOfMemoryError("no room");
+                })));
+        assertThat(end).isNotNull();
+    }
+
     @Test
     void theAnswerOfAWriteUnderWayCountsThoughALaterTryIsTurnedAway() throws InterruptedException
     {
