--- a/gaugehollow/src/main/java/org/gaugehollow/model/TryOutcomes.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/TryOutcomes.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.model;
 
+import java.util.Optional;
+
 /**
  * What is known of a request for which several tries were made. It counts as not run only if every
  * try of it surely changed nothing: one that is under way, or that ended without a clear answer,
@@ -15,21 +17,34 @@
     private GaugehollowException unclear;
     private GaugehollowException newest;
 
-    /** A try is under way. */
-    public synchronized void began()
+    /**
+     * Lets a try begin, unless one has failed before: what is told then must not become untrue by a
+     * later try.
+     *
+     * @return whether the try counts as under way; if not, it must not be made
+     */
+    public synchronized boolean begin()
     {
+        if (newest != null)
+        {
+            return false;
+        }
         open++;
+        return true;
     }
 
     /**
      * A try that was under way ended without an answer.
      *
      * @param failure how it ended
+     * @return what is told of the request if no try is answered, once that is decided: when all tries
+     *         are over, or one may have been carried out
      */
-    public synchronized void ended(GaugehollowException failure)
+    public synchronized Optional<GaugehollowException> end(GaugehollowException failure)
     {
         open--;
         add(failure);
+        return open == 0 || unclear != null ? Optional.of(failure()) : Optional.empty();
     }
 
     /**
@@ -52,12 +67,6 @@
         return open > 0 || unclear != null;
     }
 
-    /** @return whether no try that is under way can change what is told if none is answered */
-    public synchronized boolean isDecided()
-    {
-        return open == 0 || unclear != null;
-    }
-
     /**
      * @return what is told of the request as a whole: {@code STORE_OUTCOME_UNKNOWN} if it may run, else
      *         the newest failure
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.platform;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -122,8 +123,10 @@
 
         private void send()
         {
-            outcomes.began();
-            Thread.ofVirtual().name("hedged-call").start(this::runTry);
+            if (outcomes.begin())
+            {
+                Thread.ofVirtual().name("hedged-call").start(this::runTry);
+            }
         }
 
         private void runTry()
@@ -141,7 +144,7 @@
                 Thread.currentThread().interrupt();
                 result.completeExceptionally(e);
             }
-            catch (RuntimeException e)
+            catch (RuntimeException | Error e)
             {
                 result.completeExceptionally(e);
             }
@@ -154,14 +157,14 @@
          */
         private void failed(GaugehollowException failure)
         {
-            outcomes.ended(failure);
-            if (!writes)
+            Optional<GaugehollowException> decided = outcomes.end(failure);
+            if (writes)
             {
-                result.completeExceptionally(failure);
+                decided.ifPresent(result::completeExceptionally);
             }
-            else if (outcomes.isDecided())
+            else
             {
-                result.completeExceptionally(outcomes.failure());
+                result.completeExceptionally(failure);
             }
         }
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/RefusedWriteTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/RefusedWriteTest.java
@@ -22,8 +22,6 @@
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.platform.MonitoredStore;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -49,8 +47,6 @@
     private final FakeStore store = new FakeStore();
     private final JobIntake box = intake();
     private final JobIntake otherBox = intake();
-    private Thread turnsAway;
-
     private JobIntake intake()
     {
         return new JobIntake(new MonitoredStore(store, events, System::nanoTime), id ->
@@ -58,12 +54,11 @@
         }, events, new Metrics());
     }
 
-    /** The first write gets no answer; those that come after a moment are turned away. */
-    @BeforeEach
-    void holdTheFirstTryAndTurnTheNextOnesAway()
+    /** The next write gets no answer; those that come after a moment are turned away. */
+    private void holdTheFirstTryAndTurnTheNextOnesAway()
     {
         store.holdWrites(1, ANSWER_MILLIS);
-        turnsAway = Thread.ofVirtual().start(() ->
+        Thread.ofVirtual().start(() ->
         {
             try
             {
@@ -77,12 +72,6 @@
         });
     }
 
-    @AfterEach
-    void join() throws InterruptedException
-    {
-        turnsAway.join();
-    }
-
     private static long in(long millis)
     {
         return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -91,6 +80,7 @@
     @Test
     void aJobWhoseFirstWriteIsOnTheWayIsNotToldAsNotRun() throws InterruptedException
     {
+        holdTheFirstTryAndTurnTheNextOnesAway();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
                 () -> box.submit(QUEUE, ID, JOB, in(3_000)));
         store.setDown(false);
@@ -102,9 +92,8 @@
     @Test
     void aCancellationWhoseFirstWriteIsOnTheWayIsNotToldAsNotDone() throws InterruptedException
     {
-        store.holdWrites(0, 0);
         box.submit(QUEUE, ID, JOB, in(3_000));
-        store.holdWrites(1, ANSWER_MILLIS);
+        holdTheFirstTryAndTurnTheNextOnesAway();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
                 () -> box.cancel(QUEUE, ID, in(3_000)));
         store.setDown(false);
@@ -116,8 +105,7 @@
     @Test
     void aJobWhoseOnlyWriteIsTurnedAwayIsToldAsNotRunAtOnce() throws InterruptedException
     {
-        store.holdWrites(0, 0);
-        turnsAway.join();
+        store.setDown(true);
         long begun = System.nanoTime();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
                 () -> box.submit(QUEUE, ID, JOB, in(3_000)));
--- a/gaugehollow/src/test/java/org/gaugehollow/model/TryOutcomesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/model/TryOutcomesTest.java
@@ -27,33 +27,40 @@
     void aTryThatIsUnderWayKeepsTheRequestFromBeingToldAsNotRun()
     {
         TryOutcomes tries = new TryOutcomes();
-        tries.began();
-        tries.began();
-        tries.ended(failure(ResultCode.STORE_UNAVAILABLE));
-        assertThat(tries.isDecided()).isFalse();
+        tries.begin();
+        tries.begin();
+        assertThat(tries.end(failure(ResultCode.STORE_UNAVAILABLE))).isEmpty();
         assertThat(tries.failure().code()).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
-        tries.ended(failure(ResultCode.STORE_UNAVAILABLE));
-        assertThat(tries.isDecided()).isTrue();
-        assertThat(tries.failure().code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(tries.end(failure(ResultCode.STORE_UNAVAILABLE)).orElseThrow().code())
+                .isEqualTo(ResultCode.STORE_UNAVAILABLE);
     }
 
     @Test
     void aTryWithoutAClearEndDecidesWhileOthersAreUnderWay()
     {
         TryOutcomes tries = new TryOutcomes();
-        tries.began();
-        tries.began();
-        tries.ended(failure(ResultCode.PEER_LOST));
-        assertThat(tries.isDecided()).isTrue();
+        tries.begin();
+        tries.begin();
+        assertThat(tries.end(failure(ResultCode.PEER_LOST)).orElseThrow().code())
+                .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
         assertThat(tries.mayRun()).isTrue();
-        assertThat(tries.failure().code()).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void noTryBeginsAfterAnotherHasFailed()
+    {
+        TryOutcomes tries = new TryOutcomes();
+        assertThat(tries.begin()).isTrue();
+        assertThat(tries.begin()).isTrue();
+        assertThat(tries.end(failure(ResultCode.STORE_UNAVAILABLE))).isEmpty();
+        assertThat(tries.begin()).isFalse();
     }
 
     @Test
     void nothingIsToldBeforeATryIsOver()
     {
         TryOutcomes tries = new TryOutcomes();
-        tries.began();
+        tries.begin();
         assertThrows(IllegalStateException.class, tries::failure);
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -41,6 +41,8 @@
     private boolean otherLife;
     private boolean silent;
     private boolean closed;
+    private boolean unhealthy;
+    private boolean startsHeld;
 
     /** The next starts are not carried out and not answered; the last of them can arrive late. */
     synchronized void loseStarts(int count)
@@ -86,6 +88,20 @@
         return carryOut(lostStart);
     }
 
+    /** It turns orders away, starts only once they are let go. */
+    synchronized void turnAwayAndHoldStarts()
+    {
+        unhealthy = true;
+        startsHeld = true;
+    }
+
+    /** The starts that are held are turned away now. */
+    synchronized void letStartsGo()
+    {
+        startsHeld = false;
+        notifyAll();
+    }
+
     /** Another life answers from now on. */
     synchronized void endLife()
     {
@@ -182,6 +198,14 @@
     public synchronized OrderAnswer start(StartOrder order, int timeoutMillis) throws InterruptedException
     {
         startsAsked++;
+        while (startsHeld)
+        {
+            wait();
+        }
+        if (unhealthy)
+        {
+            return new OrderAnswer(OrderResult.UNHEALTHY, 1_000);
+        }
         if (startsToLose > 0)
         {
             startsToLose--;
@@ -200,6 +224,10 @@
     public synchronized OrderAnswer stop(String task, int run, long token, int timeoutMillis)
             throws InterruptedException
     {
+        if (unhealthy)
+        {
+            return new OrderAnswer(OrderResult.UNHEALTHY, 1_000);
+        }
         if (stopsToLose > 0)
         {
             stopsToLose--;
