A failing test: an owner whose term is over goes on asking for advice

Cause: a step's question is asked up to four times as long as the step waits in the ledger of its term, and that ledger stands still once the term is over. The advice service answers the calls of a box in turn, so these hold up the calls of the owner. Change: AdviceDeskTest; AdviceDesk.close, empty as yet. Measured: fails, a second call follows.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -48,6 +48,8 @@
     private final Runnable onAnswer;
     private final Map<String, StepAdvice> steps = new HashMap<>();
 
+    private volatile boolean closed;
+
     AdviceDesk(Ledger ledger, AdviceLines lines, Runnable onAnswer)
     {
         this.ledger = ledger;
@@ -102,6 +104,12 @@
         }
     }
 
+    /** Asks nothing more. */
+    void close()
+    {
+        // nothing yet
+    }
+
     /** Forgets what is known of a job's steps. */
     void forget(Job job)
     {
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceDeskTest.java
@@ -0,0 +1,61 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.junit.jupiter.api.Test;
+
+/** What an owner asks the advice service, and when it stops asking. */
+class AdviceDeskTest
+{
+    private static final long RETRIES_MILLIS = 1_500;
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final Ledger ledger = new Ledger(System::nanoTime, TimeUnit.SECONDS.toNanos(15));
+
+    /**
+     * Owners of terms long over went on asking for the steps of their day, for up to 18 s, since
+     * nothing changed any more in what they knew. The advice service answers a box's calls in turn, so
+     * the owner's own calls got no answer in time, and a sixth of the jobs never began.
+     */
+    @Test
+    void nothingIsAskedAnyMoreOnceTheTermIsOver() throws InterruptedException
+    {
+        AtomicInteger calls = new AtomicInteger();
+        CountDownLatch termIsOver = new CountDownLatch(1);
+        AdviceLines lines = new AdviceLines((step, workers, timeout) ->
+        {
+            calls.incrementAndGet();
+            termIsOver.await();
+            throw new GaugehollowException(ResultCode.UPSTREAM_TIMEOUT, "no answer in time");
+        }, events);
+        AdviceDesk desk = new AdviceDesk(ledger, lines, () ->
+        {
+        });
+        synchronized (ledger)
+        {
+            ledger.list(TestJobs.worker("w1", 16_000)).setHeld(true);
+            JobSpec spec = new JobSpec("text", List.of(TestJobs.step(1, 1_000, List.of())), 0, 0, 0);
+            ledger.accept(new JobRecord(TestJobs.ID, TestJobs.ADVISED_QUEUE, spec, 0), 1, null, 0);
+            desk.request(ledger.find(TestJobs.ID + ".0.0.0").step());
+        }
+        assertThat(TestJobs.within(2_000, () -> calls.get() == 1)).isTrue();
+        desk.close();
+        termIsOver.countDown();
+        assertThat(TestJobs.within(RETRIES_MILLIS, () -> calls.get() > 1)).isFalse();
+    }
+}
