Refusals speak of this try; a test ties its pause to the write it is for

Cause: a box cannot know what a caller tried elsewhere, yet the text of STORE_UNAVAILABLE said that nothing was changed. The pause of aStartWhoseTicketLapsedWhileItsPlacementWasWritten came after whichever commit was next, by reading also one before the placement. Change: the wording (number, status and outcome stay); FakeStore pauses after a commit of a given kind of key. The test asserts what it did.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -103,8 +103,8 @@
      * @param job what is to be run
      * @param deadlineNanos until when the caller waits, on {@link System#nanoTime}
      * @throws InterruptedException if the process stops
-     * @throws GaugehollowException {@code STORE_UNAVAILABLE} if the job was surely not accepted and
-     *             never will be, {@code STORE_OUTCOME_UNKNOWN} if it may have been
+     * @throws GaugehollowException {@code STORE_UNAVAILABLE} if this call surely did not accept the job
+     *             and never will, {@code STORE_OUTCOME_UNKNOWN} if it may have or may yet
      */
     public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
             throws InterruptedException
@@ -136,7 +136,7 @@
         {
             events.record(EventType.JOB_REFUSED, id, ResultCode.STORE_UNAVAILABLE + ": the store is silent");
             throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE,
-                    "the platform's store does not answer");
+                    "the platform's store does not answer; this try changed nothing");
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -74,7 +74,7 @@
     FIELD_IMMUTABLE(5007, 422, Outcome.NOT_RUN, 0, "A field that may not change was changed."),
 
     STORE_UNAVAILABLE(6001, 503, Outcome.NOT_RUN, 1000,
-            "The platform's service does not answer; nothing was changed."),
+            "The platform's service does not answer; this try changed nothing."),
     STORE_OUTCOME_UNKNOWN(6002, 504, Outcome.UNKNOWN, 2000,
             "The platform's service did not say whether the change was applied."),
     STORE_BUDGET(6003, 503, Outcome.NOT_RUN, 1000,
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -41,6 +41,7 @@
     private boolean down;
     private boolean watchesSilent;
     private Interruption afterCommit;
+    private String interruptedPrefix = "";
     private String lastWritten;
     private String refused;
 
@@ -109,6 +110,16 @@
 
     public void afterNextCommit(Interruption interruption)
     {
+        afterNextCommitOf("", interruption);
+    }
+
+    /**
+     * @param prefix the start of a key
+     * @param interruption what happens directly after the next commit that writes such a key
+     */
+    public synchronized void afterNextCommitOf(String prefix, Interruption interruption)
+    {
+        interruptedPrefix = prefix;
         afterCommit = interruption;
     }
 
@@ -223,7 +234,7 @@
             }
         }
         notifyAll();
-        if (afterCommit != null)
+        if (afterCommit != null && writes.stream().anyMatch(w -> w.key().startsWith(interruptedPrefix)))
         {
             Interruption once = afterCommit;
             int lose = answersToLose;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -10,7 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -420,15 +419,9 @@
     void aStartWhoseTicketLapsedWhileItsPlacementWasWrittenIsDecidedAnew() throws InterruptedException
     {
         FakeWorker worker = platform.addWorker("w1");
-        AtomicInteger calls = new AtomicInteger();
-        platform.answerAdvice((step, ids, timeout) ->
-        {
-            if (calls.incrementAndGet() == 1)
-            {
-                platform.fakeStore().afterNextCommit(() -> Thread.sleep(700));
-            }
-            return new Advice(ids.stream().map(id -> new Ticket(id, "ticket")).toList(), 500);
-        });
+        platform.answerAdvice((step, ids,
+                timeout) -> new Advice(ids.stream().map(id -> new Ticket(id, "ticket")).toList(), 500));
+        platform.fakeStore().afterNextCommitOf(JobKeys.PROGRESS, () -> Thread.sleep(700));
         beginTerm();
         JobRecord advised = new JobRecord(TestJobs.ID, TestJobs.ADVISED_QUEUE,
                 new JobSpec("text", List.of(ONE), 0, 0, 0), 0);
