--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Asks nothing more: the term is over. Its calls would hold up those of the next owner, since the
-     * service answers a box's calls in turn. Beside such calls 66 of a day's 400 jobs never began.
+     * Asks nothing more: the term is over, and the service answers a box's calls in turn. Beside calls
+     * of terms that were over 66 of a day's 400 jobs never began, for want of advice.
      */
     void close()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -31,7 +31,7 @@
 
     private static final int BUSY_WAIT_MILLIS = 700;
     private static final int IDLE_WAIT_MILLIS = 2_000;
-    private static final int SHARED_WAIT_MILLIS = 500;
+    private static final int SHORT_WAIT_MILLIS = 500;
     private static final int HOLD_SLACK_MILLIS = 400;
     private static final int RETRY_MILLIS = 150;
     private static final int RECORD_MILLIS = 400;
@@ -145,7 +145,7 @@
     {
         if (slot.hasForeignRuns() || PaceKeeper.isShared(slot))
         {
-            return SHARED_WAIT_MILLIS;
+            return SHORT_WAIT_MILLIS;
         }
         return slot.isIdle() ? IDLE_WAIT_MILLIS : BUSY_WAIT_MILLIS;
     }
