--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -187,8 +187,8 @@
     {
         return switch (code)
         {
-            case STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN, CONFIG_NOT_READY, PEER_UNREACHABLE, PEER_LOST,
-                    QUEUE_FULL ->
+            case STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN, CONFIG_NOT_READY, CONFIG_MAY_BE_OLD,
+                    PEER_UNREACHABLE, PEER_LOST, QUEUE_FULL ->
                 true;
             default -> false;
         };
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -129,7 +129,7 @@
         this.election = new OwnerElection(id, platform, config, monitor, registry, lines, SCORE,
                 root.child("owner"), settings.statusSeconds(), events);
         JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), events, metrics);
-        CallerService service = callerPort.open(config, intake);
+        CallerService service = new FreshConfigService(callerPort.open(config, intake), store::isSilent);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 call -> answerPeer(call, service));
         StoreHelpers helpers = new StoreHelpers(registry::peers, new PeerStoreQuestion(registry),
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -15,6 +15,7 @@
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobScope;
 import org.gaugehollow.job.JobSpec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
@@ -99,35 +100,58 @@
     /**
      * Accepts a job; one whose id is known already stays as it is.
      *
-     * @param queue the queue
+     * @param scope the queue, and whose job it is
      * @param id the job's id
      * @param job what is to be run
      * @param deadlineNanos until when the caller waits, on {@link SteadyClock#nanos}
      * @throws InterruptedException if the process stops
      * @throws GaugehollowException {@code STORE_UNAVAILABLE} if this call surely did not accept the job
-     *             and never will, {@code STORE_OUTCOME_UNKNOWN} if it may have or may yet
+     *             and never will, {@code STORE_OUTCOME_UNKNOWN} if it may have or may yet,
+     *             {@code JOB_CONFLICT} if the id belongs to another customer's job
      */
-    public void submit(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
-            throws InterruptedException
+    public void submit(JobScope scope, String id, JobSpec job, long deadlineNanos) throws InterruptedException
     {
-        timed("submit", () -> accept(queue, id, job, deadlineNanos));
+        timed("submit", () -> accept(scope, id, job, deadlineNanos));
     }
 
-    private boolean accept(QueueSpec queue, String id, JobSpec job, long deadlineNanos)
+    private boolean accept(JobScope scope, String id, JobSpec job, long deadlineNanos)
             throws InterruptedException
     {
         refuseWhileSilent(id);
-        byte[] record = JobCodec.writeRecord(new JobRecord(id, queue, job, System.currentTimeMillis()));
+        byte[] record = JobCodec.writeRecord(
+                new JobRecord(id, scope.queue(), job, System.currentTimeMillis(), scope.customer()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
         boolean[] fresh = new boolean[1];
         writeUntilKnown(() -> fresh[0] = HedgedCall.write(() -> store.commit(write)).isPresent(), id,
                 deadlineNanos);
+        if (!fresh[0] && scope.customer() != null)
+        {
+            refuseAnothersId(scope, id);
+        }
         notices.written(id);
-        events.record(EventType.JOB_ACCEPTED, id, queue.name() + (fresh[0] ? "" : ", known already"));
+        events.record(EventType.JOB_ACCEPTED, id,
+                scope.queue().name() + of(scope.customer()) + (fresh[0] ? "" : ", known already"));
         return fresh[0];
     }
 
+    private static String of(String customer)
+    {
+        return customer == null ? "" : " of " + customer;
+    }
+
+    /** An id that another customer's job has is not this caller's; its own job was not taken. */
+    private void refuseAnothersId(JobScope scope, String id) throws InterruptedException
+    {
+        Optional<JobRecord> known = readAfterWrite(id);
+        if (known.isPresent() && !scope.customer().equals(known.get().customer()))
+        {
+            events.record(EventType.JOB_REFUSED, id,
+                    ResultCode.JOB_CONFLICT + ": asked for by " + scope.customer());
+            throw new GaugehollowException(ResultCode.JOB_CONFLICT, "the id " + id + " is taken");
+        }
+    }
+
     /**
      * Nothing is sent to a store that does not answer: the caller is told at once when to come back.
      */
@@ -141,6 +165,20 @@
         }
     }
 
+    /** By now the caller's own write may have taken effect, so nothing may be told as not run. */
+    private Optional<JobRecord> readAfterWrite(String id) throws InterruptedException
+    {
+        try
+        {
+            return recordIn(id, listRecord(id)).map(value -> JobCodec.readRecord(value.value()));
+        }
+        catch (GaugehollowException e)
+        {
+            throw new GaugehollowException(ResultCode.STORE_OUTCOME_UNKNOWN,
+                    "whose job has this id could not be read: " + e.getMessage(), e);
+        }
+    }
+
     private void writeUntilKnown(Write write, String id, long deadlineNanos) throws InterruptedException
     {
         TryOutcomes tries = new TryOutcomes();
@@ -169,35 +207,35 @@
     /**
      * Cancels a job.
      *
-     * @param queue the queue
+     * @param scope the queue, and whose jobs the caller may change
      * @param id the job's id
      * @param deadlineNanos until when the caller waits, on {@link SteadyClock#nanos}
      * @throws InterruptedException if the process stops
-     * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
+     * @throws GaugehollowException {@code UNKNOWN_JOB} if there is no such job in the scope
      */
-    public void cancel(QueueSpec queue, String id, long deadlineNanos) throws InterruptedException
+    public void cancel(JobScope scope, String id, long deadlineNanos) throws InterruptedException
     {
-        timed("cancel", () -> writeCancellation(queue, id, deadlineNanos));
+        timed("cancel", () -> writeCancellation(scope, id, deadlineNanos));
     }
 
-    private boolean writeCancellation(QueueSpec queue, String id, long deadlineNanos)
+    private boolean writeCancellation(JobScope scope, String id, long deadlineNanos)
             throws InterruptedException
     {
         refuseWhileSilent(id);
         StoreListing listing = listRecord(id);
         if (recordIn(id, listing).isEmpty())
         {
-            if (holdBack(queue, id, deadlineNanos))
+            if (holdBack(scope, id, deadlineNanos))
             {
-                throw unknown(queue, id, listing.revision());
+                throw unknown(scope, id, listing.revision());
             }
             listing = listRecord(id);
         }
-        find(queue, id, listing);
+        find(scope, id, listing);
         StoreTransaction write = new StoreTransaction().put(JobKeys.cancel(id),
-                new Cancellation(queue.name()).write());
+                Cancellation.of(scope).write());
         writeUntilKnown(() -> HedgedCall.write(() -> store.commit(write)), id, deadlineNanos);
-        events.record(EventType.JOB_CANCELLED, id, queue.name());
+        events.record(EventType.JOB_CANCELLED, id, scope.queue().name() + of(scope.customer()));
         notices.cancelled(id);
         return true;
     }
@@ -209,10 +247,10 @@
      *
      * @return whether there still was no record
      */
-    private boolean holdBack(QueueSpec queue, String id, long deadlineNanos) throws InterruptedException
+    private boolean holdBack(JobScope scope, String id, long deadlineNanos) throws InterruptedException
     {
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.cancel(id),
-                new Cancellation(queue.name()).write());
+                Cancellation.of(scope).write());
         boolean[] written = new boolean[1];
         writeUntilKnown(() -> written[0] = HedgedCall.write(() -> store.commit(write)).isPresent(), id,
                 deadlineNanos);
@@ -220,31 +258,31 @@
     }
 
     /**
-     * @param queue the queue
+     * @param scope the queue, and whose jobs the caller may see
      * @param id the job's id
      * @return the job's state
      * @throws InterruptedException if the process stops
-     * @throws GaugehollowException {@code UNKNOWN_JOB} if the queue has no such job
+     * @throws GaugehollowException {@code UNKNOWN_JOB} if there is no such job in the scope
      */
-    public JobState state(QueueSpec queue, String id) throws InterruptedException
+    public JobState state(JobScope scope, String id) throws InterruptedException
     {
-        return timed("state", () -> read(queue, id));
+        return timed("state", () -> read(scope, id));
     }
 
-    private JobState read(QueueSpec queue, String id) throws InterruptedException
+    private JobState read(JobScope scope, String id) throws InterruptedException
     {
         refuseWhileSilent(id);
         Optional<StoredValue> stored = HedgedCall.read(() -> store.get(JobKeys.progress(id)));
         if (stored.isPresent())
         {
             JobProgress progress = JobCodec.readProgress(stored.get().value());
-            checkQueue(queue, id, progress.queue(), stored.get().modRevision());
+            check(scope, id, progress.queue(), progress.customer(), stored.get().modRevision());
             return progress.state();
         }
         StoreListing listing = listRecord(id);
-        find(queue, id, listing);
+        JobRecord record = find(scope, id, listing);
         boolean cancelled = listing.values().stream().filter(v -> v.key().equals(JobKeys.cancel(id)))
-                .anyMatch(v -> Cancellation.read(v.value()).concerns(queue.name()));
+                .anyMatch(v -> Cancellation.read(v.value()).concerns(record));
         return cancelled ? JobState.CANCELLED : JobState.QUEUED;
     }
 
@@ -253,26 +291,29 @@
         return HedgedCall.read(() -> store.list(JobKeys.jobPrefix(id)));
     }
 
-    private void checkQueue(QueueSpec asked, String id, String queue, long revision)
+    /** Another customer's job is answered as one that is not there: neither tells of the other. */
+    private void check(JobScope scope, String id, String queue, String customer, long revision)
     {
-        if (!queue.equals(asked.name()))
+        if (!scope.covers(queue, customer))
         {
-            throw unknown(asked, id, revision);
+            throw unknown(scope, id, revision);
         }
     }
 
-    private GaugehollowException unknown(QueueSpec queue, String id, long revision)
+    private GaugehollowException unknown(JobScope scope, String id, long revision)
     {
-        events.record(EventType.JOB_REFUSED, id,
-                ResultCode.UNKNOWN_JOB + ": not in " + queue.name() + " at revision " + revision);
-        return new GaugehollowException(ResultCode.UNKNOWN_JOB, "no job " + id + " in " + queue.name());
+        String queue = scope.queue().name();
+        events.record(EventType.JOB_REFUSED, id, ResultCode.UNKNOWN_JOB + ": not in " + queue
+                + of(scope.customer()) + " at revision " + revision);
+        return new GaugehollowException(ResultCode.UNKNOWN_JOB, "no job " + id + " in " + queue);
     }
 
-    private void find(QueueSpec queue, String id, StoreListing listing)
+    private JobRecord find(JobScope scope, String id, StoreListing listing)
     {
-        StoredValue value = recordIn(id, listing).orElseThrow(() -> unknown(queue, id, listing.revision()));
+        StoredValue value = recordIn(id, listing).orElseThrow(() -> unknown(scope, id, listing.revision()));
         JobRecord record = JobCodec.readRecord(value.value());
-        checkQueue(queue, id, record.queue().name(), value.modRevision());
+        check(scope, id, record.queue().name(), record.customer(), value.modRevision());
+        return record;
     }
 
     private static Optional<StoredValue> recordIn(String id, StoreListing listing)
--- a/gaugehollow/src/main/java/org/gaugehollow/job/Cancellation.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/Cancellation.java
@@ -7,15 +7,33 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * A job's cancellation, as it lies in the store. It may lie there before the job's record does, so
- * it names the queue: the same id in another queue is another caller's job.
+ * A job's cancellation, as it lies in the store: the queue's name and, in a line after it, the
+ * customer's if there is one. It may lie there before the job's record does, so it names both: the
+ * same id in another queue, or of another customer, is another caller's job.
  *
  * @param queue the name of the queue whose caller cancelled, or {@link #ANY_QUEUE}
+ * @param customer the name of the customer that cancelled; null where callers need no key
  */
-public record Cancellation(String queue)
+public record Cancellation(String queue, String customer)
 {
     /** The value of cancellations that were written only where the job's record was there. */
     private static final String ANY_QUEUE = "1";
+    private static final char SEPARATOR = '\n';
+
+    /** A cancellation by a caller that needs no key; see the components. */
+    public Cancellation(String queue)
+    {
+        this(queue, null);
+    }
+
+    /**
+     * @param scope the scope of the caller who cancels
+     * @return its cancellation
+     */
+    public static Cancellation of(JobScope scope)
+    {
+        return new Cancellation(scope.queue().name(), scope.customer());
+    }
 
     /**
      * @param value a value from the store
@@ -23,21 +41,27 @@
      */
     public static Cancellation read(byte[] value)
     {
-        return new Cancellation(new String(value, StandardCharsets.UTF_8));
+        String text = new String(value, StandardCharsets.UTF_8);
+        int end = text.indexOf(SEPARATOR);
+        return end < 0
+                ? new Cancellation(text)
+                : new Cancellation(text.substring(0, end), text.substring(end + 1));
     }
 
     /** @return the value that lies in the store */
     public byte[] write()
     {
-        return queue.getBytes(StandardCharsets.UTF_8);
+        String text = customer == null ? queue : queue + SEPARATOR + customer;
+        return text.getBytes(StandardCharsets.UTF_8);
     }
 
     /**
-     * @param name a queue's name
-     * @return whether it cancels a job of that queue
+     * @param job an accepted job
+     * @return whether it cancels that job
      */
-    public boolean concerns(String name)
+    public boolean concerns(JobRecord job)
     {
-        return queue.equals(ANY_QUEUE) || queue.equals(name);
+        return queue.equals(ANY_QUEUE)
+                || new JobScope(QueueSpec.named(queue), customer).covers(job.queue().name(), job.customer());
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/job/CellConfig.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/CellConfig.java
@@ -22,6 +22,7 @@
     private final Map<String, QueueSpec> queues = new HashMap<>();
     private final Set<String> services = new HashSet<>();
     private final List<QueueRoute> routes;
+    private final Customers customers;
 
     /**
      * How callers name a queue.
@@ -29,9 +30,15 @@
      * @param host the host that a request names
      * @param pathPrefix the start of the path
      * @param queue the queue that it leads to
+     * @param isPublic whether callers need no key
      */
-    public record QueueRoute(String host, String pathPrefix, QueueSpec queue)
+    public record QueueRoute(String host, String pathPrefix, QueueSpec queue, boolean isPublic)
     {
+        /** A route of a configuration without customers; see the components. */
+        public QueueRoute(String host, String pathPrefix, QueueSpec queue)
+        {
+            this(host, pathPrefix, queue, false);
+        }
     }
 
     /**
@@ -40,17 +47,19 @@
      */
     public CellConfig(long version, List<QueueRoute> routes)
     {
-        this(version, routes, List.of());
+        this(version, routes, List.of(), Customers.NONE);
     }
 
     /**
      * @param version rises with each change; 0 for none
      * @param routes all routes of this version
      * @param services the services that it names beside those that queues lead to
+     * @param customers who shares the cell
      */
-    public CellConfig(long version, List<QueueRoute> routes, Collection<String> services)
+    public CellConfig(long version, List<QueueRoute> routes, Collection<String> services, Customers customers)
     {
         this.version = version;
+        this.customers = customers;
         this.routes = List.copyOf(routes);
         this.services.addAll(services);
         routes.forEach(route -> queues.put(route.queue().name(), route.queue()));
@@ -66,6 +75,12 @@
         return version == 0 || services.contains(service);
     }
 
+    /** @return who shares the cell */
+    public Customers customers()
+    {
+        return customers;
+    }
+
     /** @return the version, 0 for none */
     public long version()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -12,9 +12,16 @@
  * @param queue the name of the job's queue
  * @param state the state shown to callers
  * @param rounds the progress of each repetition that has begun; null once the state is final
+ * @param customer the name of the job's customer; null if it has none
  */
-public record JobProgress(String queue, JobState state, List<RoundProgress> rounds)
+public record JobProgress(String queue, JobState state, List<RoundProgress> rounds, String customer)
 {
+    /** The progress of a job of no customer; see the components. */
+    public JobProgress(String queue, JobState state, List<RoundProgress> rounds)
+    {
+        this(queue, state, rounds, null);
+    }
+
     /**
      * One repetition of the steps.
      *
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobRecord.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobRecord.java
@@ -13,13 +13,20 @@
  * @param job what is to be run; null once the job is over
  * @param acceptedMillis when it was accepted, on the accepting box's clock in milliseconds since
  *            1970
+ * @param customer the name of the customer whose key brought it; null where no key was needed
  */
-public record JobRecord(String id, QueueSpec queue, JobSpec job, long acceptedMillis)
+public record JobRecord(String id, QueueSpec queue, JobSpec job, long acceptedMillis, String customer)
 {
+    /** A job of no customer; see the components. */
+    public JobRecord(String id, QueueSpec queue, JobSpec job, long acceptedMillis)
+    {
+        this(id, queue, job, acceptedMillis, null);
+    }
+
     /** @return the record of the same job once it is over */
     public JobRecord whenOver()
     {
-        return new JobRecord(id, QueueSpec.named(queue.name()), null, acceptedMillis);
+        return new JobRecord(id, QueueSpec.named(queue.name()), null, acceptedMillis, customer);
     }
 
     /** @return whether the job is over */
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/QuotaCheck.java
@@ -0,0 +1,36 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.job;
+
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+
+/** Whether a job could ever run within a customer's quota; one that could not is not accepted. */
+public final class QuotaCheck
+{
+    private QuotaCheck()
+    {
+    }
+
+    /**
+     * @param job what is to be run
+     * @param customer whose job it is
+     * @throws GaugehollowException {@code QUOTA_TOO_SMALL} if a task, or a whole gang, needs more than
+     *             the customer may ever have running
+     */
+    public static void check(JobSpec job, Customer customer)
+    {
+        for (StepSpec step : job.steps())
+        {
+            Amounts together = step.gang() ? step.needs().times(step.count()) : step.needs();
+            if (!customer.quota().fits(together))
+            {
+                throw new GaugehollowException(ResultCode.QUOTA_TOO_SMALL, "a step needs " + together
+                        + " at the same time, " + customer.name() + " may have " + customer.quota());
+            }
+        }
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -35,6 +35,10 @@
     KEY_CONFLICT(2008, 409, Outcome.NOT_RUN, 0, "The key was used before for another workload."),
     UNKNOWN_QUEUE(2009, 404, Outcome.NOT_RUN, 0, "No queue is configured for the host and path."),
     UNKNOWN_JOB(2010, 410, Outcome.NOT_RUN, 0, "The queue has no job of that id."),
+    KEY_UNKNOWN(2011, 401, Outcome.NOT_RUN, 0, "The queue needs a key in force, and the caller has none."),
+    JOB_CONFLICT(2012, 409, Outcome.NOT_RUN, 0, "The job's id is taken by another customer's job."),
+    QUOTA_TOO_SMALL(2013, 429, Outcome.NOT_RUN, 0,
+            "A part of the job that has to run together needs more than the customer may ever have running."),
 
     NO_ROOM(3001, 503, Outcome.NOT_RUN, 500, "No upstream that may take the request had room in time."),
     QUEUE_FULL(3002, 503, Outcome.NOT_RUN, 1000, "The class has as many waiting requests as it may."),
@@ -50,6 +54,8 @@
     KEY_MOVING(3011, 503, Outcome.NOT_RUN, 500, "The key range is changing owner."),
     PREEMPTED(3012, 503, Outcome.NOT_RUN, 1000, "A more urgent request took the waiting place."),
     COUNT_UNKNOWN(3013, 503, Outcome.NOT_RUN, 1000, "No box counts the waiting jobs at the moment."),
+    CONFIG_MAY_BE_OLD(3014, 503, Outcome.NOT_RUN, 1000,
+            "The store does not answer this box, so its configuration may be too old to decide by."),
 
     OUTCOME_UNKNOWN(4001, 502, Outcome.UNKNOWN, 1000,
             "The upstream's connection ended before its whole answer came."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -32,6 +32,7 @@
     /** Whether it has no objective of its own: it has due times or runs until it is cancelled. */
     private final boolean isOpen;
     private final TreeMap<Integer, List<Step>> rounds = new TreeMap<>();
+    private boolean beyondWeight;
     private JobState state = JobState.QUEUED;
     private QueueSpec queue;
     private long changes;
@@ -198,12 +199,12 @@
     {
         if (state.isFinal())
         {
-            return new JobProgress(record.queue().name(), state, null);
+            return new JobProgress(record.queue().name(), state, null, record.customer());
         }
         List<RoundProgress> all = new ArrayList<>();
         rounds.values()
                 .forEach(steps -> all.add(new RoundProgress(steps.stream().map(Step::progress).toList())));
-        return new JobProgress(record.queue().name(), state, all);
+        return new JobProgress(record.queue().name(), state, all, record.customer());
     }
 
     List<Step> steps()
@@ -252,6 +253,23 @@
         return changesWritten < changes;
     }
 
+    /** Whether it has due times or runs until it is cancelled. */
+    boolean isOpen()
+    {
+        return isOpen;
+    }
+
+    /** Whether its customer sent it beyond its weight. */
+    boolean isBeyondWeight()
+    {
+        return beyondWeight;
+    }
+
+    void setBeyondWeight(boolean value)
+    {
+        beyondWeight = value;
+    }
+
     void setQueue(QueueSpec newest)
     {
         queue = newest;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobOrder.java
@@ -13,6 +13,7 @@
 final class JobOrder
 {
     private static final Comparator<Turn> FIRST_TURN_FIRST = Comparator.comparing(Turn::tooLate)
+            .thenComparing(turn -> turn.job().isBeyondWeight())
             .thenComparingInt(turn -> turn.job().queue().priority()).thenComparing(Turn::overdue)
             .thenComparingLong(turn -> turn.job().acceptedRevision());
 
@@ -26,9 +27,9 @@
     }
 
     /**
-     * The jobs that have a task whose turn has come: those that are not too late first, among them the
-     * most urgent queue first, and within it those that can still meet their objective, the earliest
-     * first.
+     * The jobs that have a task whose turn has come: those that are not too late first, among them what
+     * customers sent within their weights, then the most urgent queue, and within it those that can
+     * still meet their objective, the earliest first.
      *
      * @param jobs jobs, over or not
      * @param wallMillis the time of day, in milliseconds since 1970
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,6 +43,9 @@
     private final WorkerSlots workers;
     private final CrashGuard crashGuard;
     private final RunEnds runEnds;
+    private final WeightRates rates = new WeightRates();
+    /** Accepted since jobs had their turns last, not rated yet. */
+    private final List<Job> fresh = new ArrayList<>();
     private CellConfig config = CellConfig.NONE;
 
     /**
@@ -85,7 +89,8 @@
             restore(job, progress);
         }
         jobs.put(job.id(), job);
-        if (retired.takeCancellation(job.id()).filter(c -> c.concerns(record.queue().name())).isPresent())
+        fresh.add(job);
+        if (retired.takeCancellation(job.id()).filter(c -> c.concerns(record)).isPresent())
         {
             finish(job, JobState.CANCELLED, effects);
         }
@@ -127,7 +132,7 @@
         {
             retired.cancelEarly(id, cancellation);
         }
-        else if (job != null && cancellation.concerns(job.queue().name()))
+        else if (job != null && cancellation.concerns(job.record()))
         {
             finish(job, JobState.CANCELLED, effects);
         }
@@ -194,6 +199,7 @@
     {
         Effects effects = new Effects();
         slot.setHeld(false);
+        slot.clearForeignRuns();
         List<Task> guilty = crashGuard.ended(slot, end, effects);
         for (Task task : slot.tasks())
         {
@@ -274,7 +280,7 @@
             }
         }
         Set<Task> present = new HashSet<>();
-        slot.setForeignRuns(false);
+        slot.clearForeignRuns();
         for (RunningRun run : answer.running())
         {
             running(slot, run, present, effects);
@@ -291,7 +297,7 @@
         Task task = find(run.task());
         if (task == null || !task.isAt(slot, run.run()))
         {
-            slot.setForeignRuns(true);
+            slot.addForeignRun(task == null ? null : task.step());
             effects.stopUnknown(slot, run.task(), run.run());
             return;
         }
@@ -338,6 +344,8 @@
     /** The jobs that have a task whose turn has come, in the order of their turns. */
     List<Job> waitingByUrgency(long wallMillis)
     {
+        rates.rate(fresh, config.customers());
+        fresh.clear();
         return JobOrder.waiting(jobs.values(), wallMillis);
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -78,6 +78,7 @@
     private final RoomReservations reservations = new RoomReservations();
     private final Preemption preemption = new Preemption(reservations);
     private AdviceBudget advice = AdviceBudget.NONE;
+    private QuotaUse quotas;
     private List<WorkerSlot> accepting = List.of();
     private Amounts mostFree = Amounts.NONE;
     /** Workers on which nothing begins, because a suspect is on trial there. */
@@ -97,6 +98,7 @@
         trials = ledger.crashGuard().trials();
         accepting = ledger.workers().stream().filter(slot -> slot.accepts() && !trials.contains(slot))
                 .toList();
+        quotas = QuotaUse.of(ledger.config().customers(), ledger.workers());
         mostFree = accepting.stream().map(WorkerSlot::free).reduce(Amounts.NONE, Amounts::most);
         advice = AdviceBudget.of(accepting);
         reservations.dropOld(nowNanos);
@@ -113,6 +115,10 @@
 
     private void planStep(Step step, Plan plan, long nowNanos)
     {
+        if (!quotas.allows(step, step.tasksToStartTogether()))
+        {
+            return;
+        }
         List<WorkerSlot> roomy = withRoom(step, nowNanos);
         boolean advised = step.job().queue().adviceIfNeeded().isPresent();
         List<WorkerSlot> usable = advised
@@ -132,11 +138,15 @@
         {
             step.job().setState(JobState.RUNNING);
         }
-        if (step.hasWaiting() && preemption.mayMakeRoom(step))
+        if (!step.hasWaiting() || !quotas.allows(step, step.tasksToStartTogether()))
+        {
+            return;
+        }
+        if (preemption.mayMakeRoom(step))
         {
             makeRoom(step, plan, nowNanos);
         }
-        if (advised && step.hasWaiting() && shouldAsk(step, roomy))
+        if (advised && shouldAsk(step, roomy))
         {
             plan.needAdvice().add(step);
         }
@@ -233,7 +243,7 @@
     {
         for (Task task : step.waiting())
         {
-            WorkerSlot best = best(task, usable, Map.of(), nowNanos);
+            WorkerSlot best = quotas.allows(step, 1) ? best(task, usable, Map.of(), nowNanos) : null;
             if (best == null)
             {
                 return;
@@ -272,6 +282,7 @@
     private void start(Task task, int run, WorkerSlot slot, String checkpoint, Plan plan, long nowNanos)
     {
         task.order(slot, run, nowNanos);
+        quotas.add(task.step(), 1);
         if (task.isSuspect())
         {
             trials.add(slot);
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaUse.java
@@ -0,0 +1,90 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.gaugehollow.job.Customer;
+import org.gaugehollow.job.Customers;
+import org.gaugehollow.model.Amounts;
+
+/**
+ * What each customer may have running on all workers, held against its quota. A run counts from the
+ * moment its start is decided until it is known to be over: started without an answer, on a silent
+ * worker whose lease has not lapsed, left behind as a copy, being stopped, or unknown to its task.
+ * Counted anew for each plan from what the workers hold, so that no count can drift; 2,000 runs
+ * take well under a millisecond. Not thread-safe; used under the ledger's lock.
+ *
+ * <p>
+ * Answers the load of one customer that sends several times its usual, and of one whose quota falls
+ * far below what it has running: nothing new starts until it fits, and what runs goes on, since
+ * stopping it would throw its work away.
+ */
+final class QuotaUse
+{
+    private final Customers customers;
+    private final Map<String, Amounts> running = new HashMap<>();
+
+    private QuotaUse(Customers customers)
+    {
+        this.customers = customers;
+    }
+
+    /**
+     * @param customers the customers of the newest configuration
+     * @param workers all workers, listed or not
+     * @return what may be running on them
+     */
+    static QuotaUse of(Customers customers, Collection<WorkerSlot> workers)
+    {
+        QuotaUse use = new QuotaUse(customers);
+        if (customers.keysRequired())
+        {
+            workers.forEach(use::addAll);
+        }
+        return use;
+    }
+
+    private void addAll(WorkerSlot slot)
+    {
+        slot.tasks().forEach(task -> add(task.step(), 1));
+        slot.leftRuns().forEach(run -> add(run.task().step(), 1));
+        slot.foreignSteps().forEach(step -> add(step, 1));
+    }
+
+    /** Counts starts that were decided. */
+    void add(Step step, int tasks)
+    {
+        String customer = step.job().record().customer();
+        if (customer != null)
+        {
+            running.merge(customer, step.needs().times(tasks), Amounts::plus);
+        }
+    }
+
+    /**
+     * @param step a step
+     * @param tasks how many of its tasks are to start
+     * @return whether they fit into its customer's quota beside all that may be running; a customer
+     *         that the configuration no longer has is not limited
+     */
+    boolean allows(Step step, int tasks)
+    {
+        return customers.named(step.job().record().customer()).map(Customer::quota)
+                .map(quota -> quota.fits(of(step.job().record().customer()).plus(step.needs().times(tasks))))
+                .orElse(true);
+    }
+
+    /**
+     * @param customer a customer's name
+     * @return what it may have running
+     */
+    Amounts of(String customer)
+    {
+        return running.getOrDefault(customer, Amounts.NONE);
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -80,6 +80,12 @@
         return tasks.stream().noneMatch(Task::occupies);
     }
 
+    /** How many of its tasks have to start at the same time: all of a gang, else one. */
+    int tasksToStartTogether()
+    {
+        return spec.gang() ? tasks.size() : 1;
+    }
+
     /** The run that all members of a gang start next. */
     int nextGangRun()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -31,7 +31,10 @@
     /** What is left of the capacity; asked for often, and changed seldom. */
     private Amounts free = Amounts.NONE;
     private boolean held;
+    /** Whether the last look showed runs that the owner does not know. */
     private boolean foreignRuns;
+    /** The steps of those runs, where their jobs are known. */
+    private final List<Step> foreignSteps = new ArrayList<>();
     private boolean lapsing;
     private boolean leaving;
     private long silentNanos = ANSWERS;
@@ -249,9 +252,37 @@
         held = value;
     }
 
-    void setForeignRuns(boolean value)
+    /** A new look begins. */
+    void clearForeignRuns()
+    {
+        foreignRuns = false;
+        foreignSteps.clear();
+    }
+
+    /**
+     * A look showed a run that its task does not know.
+     *
+     * @param step the step of the task; null if its job is not known
+     */
+    void addForeignRun(Step step)
+    {
+        foreignRuns = true;
+        if (step != null)
+        {
+            foreignSteps.add(step);
+        }
+    }
+
+    /** The steps of the unknown runs that the last look showed, where their jobs are known. */
+    List<Step> foreignSteps()
+    {
+        return foreignSteps;
+    }
+
+    /** The runs that were left here. */
+    List<SilentRun> leftRuns()
     {
-        foreignRuns = value;
+        return leftRuns;
     }
 
     /** Whether the last look showed runs that the owner does not know. */
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/CustomersJobsTest.java
@@ -0,0 +1,132 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.JobCodec;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobScope;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.QueueSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.MonitoredStore;
+import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.time.SteadyClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+
+/** A customer's jobs are there for its own callers only. */
+class CustomersJobsTest
+{
+    private static final String ID = "00000000000000aa";
+    private static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
+    private static final JobScope NORTH = new JobScope(QUEUE, "north");
+    private static final JobScope SOUTH = new JobScope(QUEUE, "south");
+    private static final JobSpec JOB = new JobSpec("text", List.of(new StepSpec(1, 1, 1, 0, 1, List.of(),
+            false, false, false, null, null, 0, false, false, null, 0, false, 0)), 0, 0, 0);
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final FakeStore store = new FakeStore();
+    private final JobIntake box = new JobIntake(new MonitoredStore(store, events, SteadyClock::nanos),
+            new JobNotices()
+            {
+                @Override
+                public void written(String job)
+                {
+                    // nobody waits for it here
+                }
+
+                @Override
+                public void cancelled(String job)
+                {
+                    // nobody waits for it here
+                }
+            }, events, new Metrics());
+
+    private static long inOneSecond()
+    {
+        return SteadyClock.nanos() + TimeUnit.SECONDS.toNanos(1);
+    }
+
+    private static ResultCode codeOf(Executable call)
+    {
+        return assertThrows(GaugehollowException.class, call).code();
+    }
+
+    private void submit(JobScope scope) throws InterruptedException
+    {
+        box.submit(scope, ID, JOB, inOneSecond());
+    }
+
+    @Test
+    void anotherCustomersJobIsAnsweredAsOneThatIsNotThere() throws InterruptedException
+    {
+        submit(NORTH);
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.QUEUED);
+        assertThat(codeOf(() -> box.state(SOUTH, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        store.commit(new StoreTransaction().put(JobKeys.progress(ID),
+                JobCodec.writeProgress(new JobProgress(QUEUE.name(), JobState.RUNNING, List.of(), "north"))));
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.RUNNING);
+        assertThat(codeOf(() -> box.state(SOUTH, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+    }
+
+    @Test
+    void anotherCustomersJobIsNotCancelled() throws InterruptedException
+    {
+        submit(NORTH);
+        assertThat(codeOf(() -> box.cancel(SOUTH, ID, inOneSecond()))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.QUEUED);
+        box.cancel(NORTH, ID, inOneSecond());
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.CANCELLED);
+    }
+
+    /** Its cancellation is kept for a record that may still come, but concerns only its own. */
+    @Test
+    void aCancellationBeforeTheRecordConcernsItsOwnCustomerOnly() throws InterruptedException
+    {
+        assertThat(codeOf(() -> box.cancel(SOUTH, ID, inOneSecond()))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        submit(NORTH);
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.QUEUED);
+    }
+
+    @Test
+    void theSameIdIsOneJobForOneCustomerAndRefusedToAnother() throws InterruptedException
+    {
+        submit(NORTH);
+        submit(NORTH);
+        assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
+        assertThat(codeOf(() -> submit(SOUTH))).isEqualTo(ResultCode.JOB_CONFLICT);
+    }
+
+    /** The customer's own write may have taken effect, so "not run" would not be true. */
+    @Test
+    void whereItIsNotKnownWhoseJobHasTheIdTheOutcomeIsUnknown() throws InterruptedException
+    {
+        submit(NORTH);
+        store.failReads(true);
+        assertThat(codeOf(() -> submit(NORTH))).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void aJobOfBeforeThereWereCustomersIsReadByAll() throws InterruptedException
+    {
+        submit(JobScope.of(QUEUE));
+        assertThat(box.state(NORTH, ID)).isEqualTo(JobState.QUEUED);
+        assertThat(box.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
+    }
+}
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -22,6 +22,7 @@
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobScope;
 import org.gaugehollow.job.JobSpec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
@@ -92,25 +93,25 @@
     @Test
     void anAcceptedJobIsKnownToEveryBox() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
     }
 
     @Test
     void theOwnerIsToldOfAcceptedJobsAndOfNoOthers() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         assertThat(written).containsExactly(ID);
         store.setDown(true);
-        codeOf(() -> box.submit(QUEUE, OTHER_ID, JOB, in(1_000)));
+        codeOf(() -> box.submit(JobScope.of(QUEUE), OTHER_ID, JOB, in(1_000)));
         assertThat(written).containsExactly(ID);
     }
 
     @Test
     void theSameIdAtTwoBoxesIsOneJob() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        otherBox.submit(QUEUE, ID, JOB, in(1_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        otherBox.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
         assertThat(store.get(JobKeys.job(ID)).orElseThrow().modRevision()).isEqualTo(2);
     }
@@ -118,32 +119,32 @@
     @Test
     void theIdOfAJobThatIsOverStaysTaken() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         JobRecord over = JobCodec.readRecord(store.get(JobKeys.job(ID)).orElseThrow().value()).whenOver();
         store.commit(new StoreTransaction().put(JobKeys.job(ID), JobCodec.writeRecord(over)).put(
                 JobKeys.progress(ID),
                 JobCodec.writeProgress(new JobProgress(QUEUE.name(), JobState.COMPLETED, null))));
-        otherBox.submit(QUEUE, ID, JOB, in(1_000));
+        otherBox.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         assertThat(JobCodec.readRecord(store.get(JobKeys.job(ID)).orElseThrow().value()).over()).isTrue();
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.COMPLETED);
-        otherBox.cancel(QUEUE, ID, in(1_000));
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.COMPLETED);
-        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.COMPLETED);
+        otherBox.cancel(JobScope.of(QUEUE), ID, in(1_000));
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.COMPLETED);
+        assertThat(codeOf(() -> box.state(JobScope.of(OTHER_QUEUE), ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
     }
 
     @Test
     void aLostAnswerIsSettledBySendingTheSameWriteAgain() throws InterruptedException
     {
         store.loseAnswers(1);
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        assertThat(box.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        assertThat(box.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
     }
 
     @Test
     void anOutcomeThatStaysUnknownIsNeverToldAsNotRun()
     {
         store.loseAnswers(1_000);
-        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(400))))
+        assertThat(codeOf(() -> box.submit(JobScope.of(QUEUE), ID, JOB, in(400))))
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
         assertThat(ResultCode.STORE_OUTCOME_UNKNOWN.httpStatus()).isEqualTo(504);
     }
@@ -153,7 +154,7 @@
     {
         store.loseAnswers(1_000);
         long begin = SteadyClock.nanos();
-        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(10_000))))
+        assertThat(codeOf(() -> box.submit(JobScope.of(QUEUE), ID, JOB, in(10_000))))
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
         assertThat(SteadyClock.nanos() - begin).isLessThan(TimeUnit.MILLISECONDS.toNanos(3_000));
     }
@@ -163,7 +164,7 @@
     {
         store.setDown(true);
         long begin = SteadyClock.nanos();
-        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(3_000))))
+        assertThat(codeOf(() -> box.submit(JobScope.of(QUEUE), ID, JOB, in(3_000))))
                 .isEqualTo(ResultCode.STORE_UNAVAILABLE);
         assertThat(SteadyClock.nanos() - begin).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_000));
         assertThat(ResultCode.STORE_UNAVAILABLE.retryAfterMillis()).isGreaterThan(0);
@@ -172,21 +173,22 @@
     @Test
     void aJobOfAnotherQueueIsNotKnownHere() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
-        assertThat(codeOf(() -> box.cancel(OTHER_QUEUE, ID, in(1_000)))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        assertThat(codeOf(() -> box.state(JobScope.of(OTHER_QUEUE), ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(codeOf(() -> box.cancel(JobScope.of(OTHER_QUEUE), ID, in(1_000))))
+                .isEqualTo(ResultCode.UNKNOWN_JOB);
     }
 
     @Test
     void aCancelledJobIsShownSoUnlessItWasOverBefore() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        box.cancel(QUEUE, ID, in(1_000));
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        box.cancel(JobScope.of(QUEUE), ID, in(1_000));
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.CANCELLED);
         store.commit(new StoreTransaction().put(JobKeys.progress(ID),
                 Json.write(new JobProgress(QUEUE.name(), JobState.COMPLETED, null))));
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.COMPLETED);
-        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.COMPLETED);
+        assertThat(codeOf(() -> box.state(JobScope.of(OTHER_QUEUE), ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
     }
 
     @Test
@@ -199,24 +201,24 @@
         store.setDown(true);
         for (int i = 0; i < 2; i++)
         {
-            assertThat(codeOf(() -> intake.submit(QUEUE, ID, JOB, in(1_000))))
+            assertThat(codeOf(() -> intake.submit(JobScope.of(QUEUE), ID, JOB, in(1_000))))
                     .isEqualTo(ResultCode.STORE_UNAVAILABLE);
         }
         assertThat(monitored.isSilent()).isTrue();
         store.setDown(false);
-        assertThat(codeOf(() -> intake.submit(QUEUE, ID, JOB, in(1_000))))
+        assertThat(codeOf(() -> intake.submit(JobScope.of(QUEUE), ID, JOB, in(1_000))))
                 .isEqualTo(ResultCode.STORE_UNAVAILABLE);
         assertThat(store.commits()).isEqualTo(0);
         monitored.get("any");
-        intake.submit(QUEUE, ID, JOB, in(1_000));
+        intake.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         assertThat(store.commits()).isEqualTo(1);
     }
 
     @Test
     void callsAreCountedByTheirResult() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        assertThat(codeOf(() -> box.state(OTHER_QUEUE, ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        assertThat(codeOf(() -> box.state(JobScope.of(OTHER_QUEUE), ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
         String scraped = new String(metrics.scrape(), StandardCharsets.UTF_8);
         assertThat(scraped).contains("gaugehollow_job_calls_total{call=\"submit\",code=\"OK\"} 1.0");
         assertThat(scraped).contains("gaugehollow_job_calls_total{call=\"state\",code=\"UNKNOWN_JOB\"} 1.0");
@@ -226,9 +228,9 @@
     @Test
     void aStateThatCannotBeReadIsNotGuessed() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         store.setDown(true);
-        assertThat(codeOf(() -> box.state(QUEUE, ID))).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        assertThat(codeOf(() -> box.state(JobScope.of(QUEUE), ID))).isEqualTo(ResultCode.STORE_UNAVAILABLE);
     }
 
     @Test
@@ -248,30 +250,33 @@
     void aCancellationThatFindsNoJobHoldsBackARecordThatIsWrittenLate() throws InterruptedException
     {
         store.holdWrites(3, 100);
-        assertThat(codeOf(() -> box.submit(QUEUE, ID, JOB, in(200))))
+        assertThat(codeOf(() -> box.submit(JobScope.of(QUEUE), ID, JOB, in(200))))
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
         store.holdWrites(0, 0);
-        assertThat(codeOf(() -> otherBox.cancel(QUEUE, ID, in(1_000)))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(codeOf(() -> otherBox.cancel(JobScope.of(QUEUE), ID, in(1_000))))
+                .isEqualTo(ResultCode.UNKNOWN_JOB);
         store.deliverHeldWrites();
         assertThat(store.get(JobKeys.job(ID))).isPresent();
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.CANCELLED);
     }
 
     @Test
     void aCancellationInOneQueueLeavesAJobOfTheSameIdInAnother() throws InterruptedException
     {
-        assertThat(codeOf(() -> box.cancel(OTHER_QUEUE, ID, in(1_000)))).isEqualTo(ResultCode.UNKNOWN_JOB);
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        assertThat(box.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
-        assertThat(codeOf(() -> box.cancel(OTHER_QUEUE, ID, in(1_000)))).isEqualTo(ResultCode.UNKNOWN_JOB);
-        assertThat(box.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+        assertThat(codeOf(() -> box.cancel(JobScope.of(OTHER_QUEUE), ID, in(1_000))))
+                .isEqualTo(ResultCode.UNKNOWN_JOB);
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        assertThat(box.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
+        assertThat(codeOf(() -> box.cancel(JobScope.of(OTHER_QUEUE), ID, in(1_000))))
+                .isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(box.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
     }
 
     @Test
     void theOwnerIsToldOfCancellations() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(1_000));
-        box.cancel(QUEUE, ID, in(1_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
+        box.cancel(JobScope.of(QUEUE), ID, in(1_000));
         assertThat(cancelled).containsExactly(ID);
     }
 
@@ -291,9 +296,9 @@
         };
         JobIntake intake = new JobIntake(new MonitoredStore(counting, events, SteadyClock::nanos), notices,
                 events, metrics);
-        intake.submit(QUEUE, ID, JOB, in(1_000));
+        intake.submit(JobScope.of(QUEUE), ID, JOB, in(1_000));
         listings.set(0);
-        intake.cancel(QUEUE, ID, in(1_000));
+        intake.cancel(JobScope.of(QUEUE), ID, in(1_000));
         assertThat(listings.get()).isEqualTo(1);
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/OutcomeOverBoxesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/OutcomeOverBoxesTest.java
@@ -22,6 +22,7 @@
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobScope;
 import org.gaugehollow.job.JobSpec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
@@ -135,31 +136,31 @@
         Way first = new Way();
         Way second = new Way();
         second.refusing = true;
-        assertThat(codeOf(() -> intake(first).submit(QUEUE, ID, JOB, in(400))))
+        assertThat(codeOf(() -> intake(first).submit(JobScope.of(QUEUE), ID, JOB, in(400))))
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
-        assertThat(codeOf(() -> intake(second).submit(QUEUE, ID, JOB, in(400))))
+        assertThat(codeOf(() -> intake(second).submit(JobScope.of(QUEUE), ID, JOB, in(400))))
                 .isEqualTo(ResultCode.STORE_UNAVAILABLE);
         assertThat(second.sent).isEqualTo(0);
         assertThat(store.list(JobKeys.JOBS).values()).isEmpty();
         first.carryOutLate();
         assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
-        assertThat(intake(store).state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+        assertThat(intake(store).state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
     }
 
     /** A cancellation left open by one box is done later, whatever another box said in between. */
     @Test
     void aCancellationLeftOpenByOneBoxIsDoneAfterAnotherBoxWasRefused() throws InterruptedException
     {
-        intake(store).submit(QUEUE, ID, JOB, in(400));
+        intake(store).submit(JobScope.of(QUEUE), ID, JOB, in(400));
         Way first = new Way();
         Way second = new Way();
         second.refusing = true;
-        assertThat(codeOf(() -> intake(first).cancel(QUEUE, ID, in(400))))
+        assertThat(codeOf(() -> intake(first).cancel(JobScope.of(QUEUE), ID, in(400))))
                 .isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
-        assertThat(codeOf(() -> intake(second).cancel(QUEUE, ID, in(400))))
+        assertThat(codeOf(() -> intake(second).cancel(JobScope.of(QUEUE), ID, in(400))))
                 .isEqualTo(ResultCode.STORE_UNAVAILABLE);
         first.carryOutLate();
-        assertThat(intake(store).state(QUEUE, ID)).isEqualTo(JobState.CANCELLED);
+        assertThat(intake(store).state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.CANCELLED);
     }
 
     private static List<ResultCode> refusals(Outcome outcome)
--- a/gaugehollow/src/test/java/org/gaugehollow/box/RefusedWriteTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/RefusedWriteTest.java
@@ -14,6 +14,7 @@
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobScope;
 import org.gaugehollow.job.JobSpec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
@@ -82,20 +83,20 @@
     {
         holdTheFirstTryAndTurnTheNextOnesAway();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
-                () -> box.submit(QUEUE, ID, JOB, in(3_000)));
+                () -> box.submit(JobScope.of(QUEUE), ID, JOB, in(3_000)));
         store.setDown(false);
         store.deliverHeldWrites();
-        assertThat(otherBox.state(QUEUE, ID)).isEqualTo(JobState.QUEUED);
+        assertThat(otherBox.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
         assertThat(refusal.code()).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
     }
 
     @Test
     void aCancellationWhoseFirstWriteIsOnTheWayIsNotToldAsNotDone() throws InterruptedException
     {
-        box.submit(QUEUE, ID, JOB, in(3_000));
+        box.submit(JobScope.of(QUEUE), ID, JOB, in(3_000));
         holdTheFirstTryAndTurnTheNextOnesAway();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
-                () -> box.cancel(QUEUE, ID, in(3_000)));
+                () -> box.cancel(JobScope.of(QUEUE), ID, in(3_000)));
         store.setDown(false);
         store.deliverHeldWrites();
         assertThat(store.get(JobKeys.cancel(ID))).isPresent();
@@ -108,7 +109,7 @@
         store.setDown(true);
         long begun = SteadyClock.nanos();
         GaugehollowException refusal = assertThrows(GaugehollowException.class,
-                () -> box.submit(QUEUE, ID, JOB, in(3_000)));
+                () -> box.submit(JobScope.of(QUEUE), ID, JOB, in(3_000)));
         assertThat(refusal.code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
         assertThat(TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - begun)).isLessThan(300);
         assertThat(store.commits()).isEqualTo(0);
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -39,6 +39,7 @@
     private int commits;
     private int largestTransaction;
     private boolean down;
+    private boolean readsFail;
     private boolean watchesSilent;
     private Interruption afterCommit;
     private String interruptedPrefix = "";
@@ -91,6 +92,12 @@
         notifyAll();
     }
 
+    /** @param value whether reads fail though writes do not */
+    public synchronized void failReads(boolean value)
+    {
+        readsFail = value;
+    }
+
     public void setDown(boolean value)
     {
         down = value;
@@ -143,17 +150,26 @@
         }
     }
 
+    private void checkReadable()
+    {
+        checkUp();
+        if (readsFail)
+        {
+            throw new GaugehollowException(ResultCode.STORE_UNAVAILABLE, "reads fail");
+        }
+    }
+
     @Override
     public synchronized Optional<StoredValue> get(String key)
     {
-        checkUp();
+        checkReadable();
         return Optional.ofNullable(keys.get(key));
     }
 
     @Override
     public synchronized StoreListing list(String prefix)
     {
-        checkUp();
+        checkReadable();
         return new StoreListing(revision,
                 new ArrayList<>(keys.values().stream().filter(v -> v.key().startsWith(prefix)).toList()));
     }
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WeightRatesTest.java
@@ -0,0 +1,121 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.Customer;
+import org.gaugehollow.job.Customers;
+import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobSpec;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.placement.WaitingFirstScore;
+import org.junit.jupiter.api.Test;
+
+/** One customer sends several times its weight while the cell is full. */
+class WeightRatesTest
+{
+    private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(1_000);
+    private static final int TASK_CPU = 1_000;
+    private static final int SLOTS = 4;
+
+    private final Ledger ledger = new Ledger(() -> NOW_NANOS, 0);
+    private final Planner planner = new Planner(ledger, new NoTickets(), new WaitingFirstScore(0.5));
+    private final List<String> begun = new ArrayList<>();
+    private int jobs;
+
+    private void configure(double weight)
+    {
+        List<Customers.Declared> declared = new ArrayList<>();
+        for (String name : List.of("loud", "quiet"))
+        {
+            declared.add(new Customers.Declared(new Customer(name, weight, Customer.UNLIMITED), List.of()));
+        }
+        ledger.configure(new CellConfig(1, List.of(), List.of("service"), Customers.of(declared)));
+    }
+
+    private void accept(String customer, long atMillis, StepSpec step)
+    {
+        jobs++;
+        ledger.accept(new JobRecord(String.format("%016x", jobs), TestJobs.QUEUE,
+                new JobSpec("text", List.of(step), 0, 0, 0), atMillis, customer), jobs, null, 0);
+    }
+
+    private void accept(String customer, long atMillis)
+    {
+        accept(customer, atMillis, TestJobs.step(1, TASK_CPU, List.of()));
+    }
+
+    private void plan()
+    {
+        planner.plan(NOW_NANOS, 0).starts()
+                .forEach(start -> begun.add(start.task().step().job().record().customer()));
+    }
+
+    private void room(int tasks)
+    {
+        ledger.list(TestJobs.worker("w1", tasks * TASK_CPU)).looked(NOW_NANOS);
+    }
+
+    /**
+     * Twelve jobs of one customer arrive before one of another; without the weights the room for four
+     * went to the first customer alone.
+     */
+    @Test
+    void whatIsSentBeyondTheWeightWaitsBehindWhatOthersSendWithinTheirs()
+    {
+        configure(2);
+        for (int i = 0; i < 12; i++)
+        {
+            accept("loud", i * 10);
+        }
+        accept("quiet", 200);
+        accept("quiet", 210);
+        room(SLOTS);
+        plan();
+        assertThat(begun).containsExactly("loud", "loud", "quiet", "quiet");
+    }
+
+    @Test
+    void idleRoomIsUsedBeyondTheWeight()
+    {
+        configure(2);
+        for (int i = 0; i < SLOTS; i++)
+        {
+            accept("loud", i);
+        }
+        room(SLOTS);
+        plan();
+        assertThat(begun).hasSize(SLOTS);
+    }
+
+    @Test
+    void aCustomerThatGoesOnSendingHasItsShareInEachSecond()
+    {
+        configure(1);
+        for (int i = 0; i < 8; i++)
+        {
+            accept("loud", i * 500);
+        }
+        accept("quiet", 0);
+        ledger.waitingByUrgency(0);
+        long within = ledger.waitingByUrgency(0).stream().filter(job -> !job.isBeyondWeight()).count();
+        assertThat(within).isEqualTo(5);
+    }
+
+    @Test
+    void jobsThatLastAreNeverPutBack()
+    {
+        configure(1);
+        accept("loud", 0);
+        accept("loud", 1, TestJobs.longRunning(1));
+        assertThat(ledger.waitingByUrgency(0).stream().filter(Job::isBeyondWeight).count()).isEqualTo(0);
+    }
+}
