The log tells when a customer's work waits for its quota; a gang in the property of quotas ends whole

Cause: why a job does not begin could not be seen where its customer is at its quota.

Change: QUOTA_REACHED and QUOTA_LEFT, two lines for each such time.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -57,6 +57,7 @@
     private final Journal journal;
     private final AdviceDesk desk;
     private final Planner planner;
+    private final QuotaWatch quotaWatch;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
@@ -78,6 +79,7 @@
         this.journal = new Journal(platform.store(), ledger, lease, events);
         this.desk = new AdviceDesk(ledger, lines, this::wake);
         this.planner = new Planner(ledger, desk, score);
+        this.quotaWatch = new QuotaWatch(events);
         this.evacuation = new Evacuation(ledger);
         this.stallGuard = new StallGuard(ledger);
         this.slowWorkerGuard = new SlowWorkerGuard(ledger);
@@ -176,6 +178,7 @@
         apply(slow);
         lapsed.forEach(this::applyLoss);
         applyLoss(harmful);
+        quotaWatch.planned(plan.atQuota(), SteadyClock.nanos());
         plan.madeRoom().forEach(this::makeRoom);
         sendOnceWritten(plan.starts());
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -41,8 +41,10 @@
      * @param starts the starts that were decided; their tasks are marked as ordered
      * @param needAdvice steps that cannot start without newer advice
      * @param madeRoom the runs that have to make room for more urgent steps
+     * @param atQuota the customers of which work waits for their quota, and what they have running
      */
-    record Plan(List<Start> starts, List<Step> needAdvice, List<MadeRoom> madeRoom)
+    record Plan(List<Start> starts, List<Step> needAdvice, List<MadeRoom> madeRoom,
+            Map<String, Amounts> atQuota)
     {
     }
 
@@ -94,7 +96,7 @@
     /** Decides as many starts as there is room for. */
     Plan plan(long nowNanos, long wallMillis)
     {
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>());
         trials = ledger.crashGuard().trials();
         accepting = ledger.workers().stream().filter(slot -> slot.accepts() && !trials.contains(slot))
                 .toList();
@@ -115,7 +117,7 @@
 
     private void planStep(Step step, Plan plan, long nowNanos)
     {
-        if (!quotas.allows(step, step.tasksToStartTogether()))
+        if (waitsForQuota(step, plan))
         {
             return;
         }
@@ -138,7 +140,7 @@
         {
             step.job().setState(JobState.RUNNING);
         }
-        if (!step.hasWaiting() || !quotas.allows(step, step.tasksToStartTogether()))
+        if (!step.hasWaiting() || waitsForQuota(step, plan))
         {
             return;
         }
@@ -152,6 +154,17 @@
         }
     }
 
+    private boolean waitsForQuota(Step step, Plan plan)
+    {
+        boolean waits = !quotas.allows(step, step.tasksToStartTogether());
+        if (waits)
+        {
+            String customer = step.job().record().customer();
+            plan.atQuota().put(customer, quotas.of(customer));
+        }
+        return waits;
+    }
+
     private void makeRoom(Step step, Plan plan, long nowNanos)
     {
         List<WorkerSlot> allowed = possible(step, nowNanos).stream()
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
@@ -72,18 +72,33 @@
             arriving.clear();
         }
 
-        /** One of its runs ends; it tells that at the next look. */
+        /** One of its runs ends, and with it the rest of its gang, if all of that are there. */
         private void end(int which, RunEnd how)
         {
             List<String> names = running.keySet().stream().sorted().toList();
-            if (!names.isEmpty())
+            if (names.isEmpty())
             {
-                Planner.Start start = running.remove(names.get(which % names.size()));
-                ends++;
-                ended.add(new EndedRun(ends, start.task().name(), start.run(), how, ""));
+                return;
+            }
+            Planner.Start start = running.get(names.get(which % names.size()));
+            if (start.task().step().spec().gang())
+            {
+                endGang(start, how);
+            }
+            else
+            {
+                endOne(start, how);
             }
         }
 
+        /** It tells of the end at the next look. */
+        private void endOne(Planner.Start start, RunEnd how)
+        {
+            running.remove(start.task().name());
+            ends++;
+            ended.add(new EndedRun(ends, start.task().name(), start.run(), how, ""));
+        }
+
         private void look()
         {
             if (!silent)
@@ -124,6 +139,25 @@
     private Planner planner;
     private long version = 1;
 
+    /** Members of a gang work only together, and what ends one ends all. */
+    private void endGang(Planner.Start first, RunEnd how)
+    {
+        Map<Planner.Start, Machine> members = new HashMap<>();
+        for (Machine machine : machines)
+        {
+            machine.running.values().stream()
+                    .filter(start -> start.run() == first.run()
+                            && start.task().step().name().equals(first.task().step().name()))
+                    .forEach(start -> members.put(start, machine));
+        }
+        if (members.size() < first.task().step().tasks().size())
+        {
+            return;
+        }
+        RunEnd others = how == RunEnd.DONE ? RunEnd.DONE : RunEnd.BROKEN;
+        members.forEach((start, machine) -> machine.endOne(start, start == first ? how : others));
+    }
+
     private static String orderOf(Planner.Start start)
     {
         return start.task().name() + '/' + start.run();
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaWatchTest.java
@@ -0,0 +1,50 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.Event;
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.model.Amounts;
+import org.junit.jupiter.api.Test;
+
+/** What the log says of a customer whose work waits for its quota. */
+class QuotaWatchTest
+{
+    private static final Map<String, Amounts> NORTH = Map.of("north", new Amounts(0, 1_000, 0, 0));
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final QuotaWatch watch = new QuotaWatch(events);
+
+    private List<String> logged()
+    {
+        return events.since(0).stream().map(Event::name).toList();
+    }
+
+    private void plan(Map<String, Amounts> atQuota, long millis)
+    {
+        watch.planned(atQuota, TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** A hundred plans a second, with short breaks, are one time at the quota. */
+    @Test
+    void aTimeAtTheQuotaIsTwoLines()
+    {
+        for (int millis = 0; millis < 5_000; millis += 10)
+        {
+            plan(millis % 400 < 200 ? NORTH : Map.of(), millis);
+        }
+        assertThat(logged()).containsExactly("QUOTA_REACHED");
+        plan(Map.of(), 7_000);
+        plan(Map.of(), 7_010);
+        assertThat(logged()).containsExactly("QUOTA_REACHED", "QUOTA_LEFT").inOrder();
+    }
+}
