Nothing is started before there is a configuration

Change: plans wait for the first configuration.

Measured: OwnerTermTest.nothingIsStartedBeforeThereIsAConfiguration failed before, passes now; seven classes of tests of terms pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -134,7 +134,7 @@
                 wakeUps.drainPermits();
             }
             long begunNanos = SteadyClock.nanos();
-            if (jobs.areListed() && lease.mayOrder())
+            if (jobs.areListed() && lease.mayOrder() && hasConfig())
             {
                 planOnce();
             }
@@ -143,6 +143,12 @@
         }
     }
 
+    /** Without a configuration nobody would be held to a quota. */
+    private boolean hasConfig()
+    {
+        return config.get().version() > 0;
+    }
+
     private void planOnce()
     {
         Planner.Plan plan;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -10,10 +10,13 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress.RoundProgress;
@@ -115,6 +118,22 @@
         assertThat(TestJobs.within(3_000, () -> state() == JobState.COMPLETED)).isTrue();
     }
 
+    /**
+     * A box may own the cell before it has read a configuration. It would hold nobody to a quota then,
+     * and would not know which workers a queue may use.
+     */
+    @Test
+    void nothingIsStartedBeforeThereIsAConfiguration() throws InterruptedException
+    {
+        FakeWorker worker = platform.addWorker("w1");
+        AtomicReference<CellConfig> config = new AtomicReference<>(CellConfig.NONE);
+        term = new TestTerm(platform, "box", events, RETENTION_NANOS, config::get);
+        accept(ONE);
+        assertThat(TestJobs.within(1_000, () -> !worker.begun().isEmpty())).isFalse();
+        config.set(new CellConfig(1, List.of(), List.of("service"), Customers.NONE));
+        assertThat(TestJobs.within(3_000, () -> worker.begun().equals(List.of(TASK + "/1")))).isTrue();
+    }
+
     @Test
     void aStartWaitsForItsOwnRecordOnly() throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -5,11 +5,14 @@
 package org.gaugehollow.schedule;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.StoreTransaction;
@@ -22,6 +25,8 @@
     private static final long LONG_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
     private static final long CONFIRM_MILLIS = 300;
     private static final String CONFIRMATIONS = "confirmations";
+    /** A configuration without customers. */
+    private static final CellConfig OPEN = new CellConfig(1, List.of(), List.of("service"), Customers.NONE);
 
     private final Supervisor supervisor;
     private final OwnerLease lease;
@@ -44,6 +49,13 @@
      */
     TestTerm(FakePlatform platform, String box, EventLog events, long retentionNanos)
             throws InterruptedException
+    {
+        this(platform, box, events, retentionNanos, () -> OPEN);
+    }
+
+    /** The same, with a configuration that may change; see above. */
+    TestTerm(FakePlatform platform, String box, EventLog events, long retentionNanos,
+            Supplier<CellConfig> config) throws InterruptedException
     {
         byte[] mark = box.getBytes(StandardCharsets.UTF_8);
         long previousFence = platform.store().get(JobKeys.OWNER).map(StoredValue::modRevision)
@@ -53,7 +65,7 @@
                 .orElseThrow();
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence);
-        term = new OwnerTerm(platform, lease, events, supervisor.child("term"), () -> CellConfig.NONE,
+        term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
                 new AdviceLines(platform.advice(), events), new WaitingFirstScore(0.5), retentionNanos);
         confirm();
         term.begin();
