What the looks show of a run has a class of its own

Cause: Task had grown to 460 lines and held both the state of a task and what was observed of its newest run.

Change: RunObservation; no change of behaviour.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -36,11 +36,6 @@
     /** An order that is not settled yet. */
     static final long UNSETTLED = Long.MAX_VALUE;
 
-    /** Speed is taken over at least this time. */
-    private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-    /** What counts as done where the looks show no progress. */
-    private static final double LEAST_PERCENT = 0.5;
-
     private final Step step;
     private final int index;
     private Phase phase = Phase.WAITING;
@@ -49,16 +44,10 @@
     private String checkpoint;
     private WorkerSlot worker;
     private long settledNanos = UNSETTLED;
-    private long startedNanos;
-    private int percent;
-    private long movedNanos;
-    private long observedNanos;
-    private int samplePercent;
-    private long sampleNanos;
+    private final RunObservation observation = new RunObservation();
     private long ranMillis;
     private int pace = WHOLE;
     private long pacedNanos;
-    private double gauge;
     private String failedOn;
     private CrashHistory crashes = CrashHistory.NONE;
     /** Told by the history; kept, since it is asked for each pair of a task and a worker. */
@@ -109,15 +98,9 @@
         run = newRun;
         worker = target;
         settledNanos = UNSETTLED;
-        startedNanos = nowNanos;
-        movedNanos = nowNanos;
-        observedNanos = nowNanos;
-        samplePercent = 0;
-        sampleNanos = nowNanos;
-        percent = 0;
+        observation.ordered(nowNanos);
         pace = WHOLE;
         pacedNanos = nowNanos;
-        gauge = 0;
         mayHaveBegun = false;
         hasBegun = false;
         target.take(this);
@@ -137,9 +120,7 @@
             phase = Phase.RUNNING;
             mayHaveBegun = true;
             hasBegun = true;
-            startedNanos = nowNanos;
-            movedNanos = nowNanos;
-            sampleNanos = nowNanos;
+            observation.begun(nowNanos);
         }
     }
 
@@ -229,7 +210,7 @@
     /** A run ended well. */
     void done(long nowNanos)
     {
-        ranMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
+        ranMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - observation.startedNanos());
         done();
     }
 
@@ -252,20 +233,9 @@
     }
 
     /** Takes note of what a look at the worker shows. */
-    void observe(int newPercent, double newGauge, long nowNanos)
+    void observe(int percent, double gauge, long nowNanos)
     {
-        if (observedNanos - sampleNanos >= SAMPLE_NANOS)
-        {
-            samplePercent = percent;
-            sampleNanos = observedNanos;
-        }
-        if (newPercent != percent)
-        {
-            percent = newPercent;
-            movedNanos = nowNanos;
-        }
-        gauge = newGauge;
-        observedNanos = nowNanos;
+        observation.observe(percent, gauge, nowNanos);
     }
 
     /** A run of it failed. */
@@ -387,18 +357,13 @@
 
     long startedNanos()
     {
-        return startedNanos;
+        return observation.startedNanos();
     }
 
-    /**
-     * How long a whole run takes at the speed that the newest looks show, in milliseconds; 0 if they
-     * show too little.
-     */
+    /** See {@link RunObservation#millisAtPresentSpeed}. */
     double millisAtPresentSpeed()
     {
-        double millis = TimeUnit.NANOSECONDS.toMillis(observedNanos - sampleNanos);
-        double done = Math.max(percent - samplePercent, LEAST_PERCENT);
-        return observedNanos - sampleNanos >= SAMPLE_NANOS ? millis * WHOLE / done : 0;
+        return observation.millisAtPresentSpeed();
     }
 
     /**
@@ -407,12 +372,7 @@
      */
     long millisToEnd(long nowNanos)
     {
-        long ran = TimeUnit.NANOSECONDS.toMillis(nowNanos - startedNanos);
-        if (percent <= 0)
-        {
-            return Math.max(0, step.spec().estimateMillis() - ran);
-        }
-        return ran * (WHOLE - percent) / percent;
+        return observation.millisToEnd(step.spec().estimateMillis(), nowNanos);
     }
 
     /** How long the run that ended well took, in milliseconds; 0 if it is not known. */
@@ -424,23 +384,23 @@
     /** How long the looks have shown its run at work, in milliseconds. */
     long seenMillis()
     {
-        return millisUntil(observedNanos);
+        return observation.seenMillis();
     }
 
     /** How long after its run began a moment is, in milliseconds; 0 for one before. */
     long millisUntil(long nanos)
     {
-        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos - startedNanos));
+        return observation.millisUntil(nanos);
     }
 
     long movedNanos()
     {
-        return movedNanos;
+        return observation.movedNanos();
     }
 
     int percent()
     {
-        return percent;
+        return observation.percent();
     }
 
     int pace()
@@ -450,7 +410,7 @@
 
     double gauge()
     {
-        return gauge;
+        return observation.gauge();
     }
 
     String name()
