Advice is asked about workers that have room, as many as the waiting tasks need

Cause: a call for advice named the first hundred listed workers, whatever room they had.

Change: AdviceQuestion, a decision of its own: workers with room first, near ones and known ones before others, in an order of the step's own; 30 at least, as the users count, and as many as the waiting tasks should need.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -25,7 +25,6 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** How much before its end a ticket is no longer used, so that a start arrives in time. */
     private static final long MARGIN_MILLIS = 150;
-    private static final int MOST_WORKERS = 100;
     private static final long PAUSE_AFTER_FAULT_NANOS = 100_000_000L;
 
     /** A ticket and when it ends. */
@@ -142,16 +141,16 @@
 
     private List<String> workersToAsk(Step step, StepAdvice advice)
     {
-        List<String> workers = new ArrayList<>();
+        List<WorkerSlot> workers = new ArrayList<>();
         for (WorkerSlot slot : ledger.workers())
         {
             boolean service = slot.accepts() && slot.entry().service().equals(step.job().queue().service());
-            if (service && !isBarred(step, slot) && workers.size() < MOST_WORKERS)
+            if (service && step.hasLabel(slot.entry()) && !isBarred(step, slot))
             {
-                workers.add(slot.id());
+                workers.add(slot);
             }
         }
-        return workers;
+        return new AdviceQuestion(step, advice.healthy.keySet()).choose(workers);
     }
 
     private void ask(Step step, StepAdvice advice, List<String> workers, AdviceSpec spec)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -236,9 +236,7 @@
     {
         WorkerEntry entry = slot.entry();
         boolean service = entry.service().equals(step.job().queue().service());
-        String label = step.spec().requires();
-        boolean labelled = label == null || label.isEmpty() || entry.labels().contains(label);
-        return service && labelled && !tickets.isBarred(step, slot);
+        return service && step.hasLabel(entry) && !tickets.isBarred(step, slot);
     }
 
     private boolean hasRoomSomewhere(Step step, List<WorkerSlot> slots)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -10,6 +10,7 @@
 import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.Amounts;
+import org.gaugehollow.worker.WorkerEntry;
 
 /** One step of one repetition of a job in the owner's memory. Guarded by the ledger's lock. */
 final class Step
@@ -115,6 +116,13 @@
         }
     }
 
+    /** Whether a worker has the label that the step requires, if it requires one. */
+    boolean hasLabel(WorkerEntry entry)
+    {
+        String label = spec.requires();
+        return label == null || label.isEmpty() || entry.labels().contains(label);
+    }
+
     /** How many tasks of the step a worker holds. */
     long countOn(WorkerSlot slot)
     {
