A quota's account sums in place; a job that could never run is tested

A gang whose needs overflow small numbers could have passed the check.

Change: one account a customer with sums in place, in long numbers.

--- a/gaugehollow/src/main/java/org/gaugehollow/job/QuotaCheck.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/QuotaCheck.java
@@ -25,12 +25,20 @@
     {
         for (StepSpec step : job.steps())
         {
-            Amounts together = step.gang() ? step.needs().times(step.count()) : step.needs();
-            if (!customer.quota().fits(together))
+            int together = step.gang() ? step.count() : 1;
+            if (!fits(customer.quota(), step.needs(), together))
             {
-                throw new GaugehollowException(ResultCode.QUOTA_TOO_SMALL, "a step needs " + together
-                        + " at the same time, " + customer.name() + " may have " + customer.quota());
+                throw new GaugehollowException(ResultCode.QUOTA_TOO_SMALL,
+                        "a step needs " + together + " times " + step.needs() + " at the same time, "
+                                + customer.name() + " may have " + customer.quota());
             }
         }
     }
+
+    private static boolean fits(Amounts quota, Amounts needs, long tasks)
+    {
+        return tasks * needs.cpuMillis() <= quota.cpuMillis()
+                && tasks * needs.memoryMib() <= quota.memoryMib()
+                && tasks * needs.accelerators() <= quota.accelerators();
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -293,7 +293,7 @@
     private void start(Task task, int run, WorkerSlot slot, String checkpoint, Plan plan, long nowNanos)
     {
         task.order(slot, run, nowNanos);
-        quotas.add(task.step(), 1);
+        quotas.add(task.step());
         if (task.isSuspect())
         {
             trials.add(slot);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaUse.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaUse.java
@@ -16,8 +16,8 @@
  * What each customer may have running on all workers, held against its quota. A run counts from the
  * moment its start is decided until it is known to be over: started without an answer, on a silent
  * worker whose lease has not lapsed, left behind as a copy, being stopped, or unknown to its task.
- * Counted anew for each plan from what the workers hold, so that no count can drift; 2,000 runs
- * take well under a millisecond. Not thread-safe; used under the ledger's lock.
+ * Counted anew for each plan from what the workers hold, so that no count can drift. Not
+ * thread-safe; used under the ledger's lock.
  *
  * <p>
  * Answers the load of one customer that sends several times its usual, and of one whose quota falls
@@ -26,8 +26,38 @@
  */
 final class QuotaUse
 {
+    /**
+     * One customer's quota and what counts against it; sums in place, since it is asked for each step.
+     */
+    private static final class Account
+    {
+        private final Amounts quota;
+        private long cpuMillis;
+        private long memoryMib;
+        private long accelerators;
+
+        private Account(Amounts quota)
+        {
+            this.quota = quota;
+        }
+
+        private void add(Amounts needs)
+        {
+            cpuMillis += needs.cpuMillis();
+            memoryMib += needs.memoryMib();
+            accelerators += needs.accelerators();
+        }
+
+        private boolean allows(Amounts needs, long tasks)
+        {
+            return cpuMillis + tasks * needs.cpuMillis() <= quota.cpuMillis()
+                    && memoryMib + tasks * needs.memoryMib() <= quota.memoryMib()
+                    && accelerators + tasks * needs.accelerators() <= quota.accelerators();
+        }
+    }
+
     private final Customers customers;
-    private final Map<String, Amounts> running = new HashMap<>();
+    private final Map<String, Account> accounts = new HashMap<>();
 
     private QuotaUse(Customers customers)
     {
@@ -51,21 +81,27 @@
 
     private void addAll(WorkerSlot slot)
     {
-        slot.tasks().forEach(task -> add(task.step(), 1));
-        slot.leftRuns().forEach(run -> add(run.task().step(), 1));
-        slot.foreignSteps().forEach(step -> add(step, 1));
+        slot.forEachTask(task -> add(task.step()));
+        slot.leftRuns().forEach(run -> add(run.task().step()));
+        slot.foreignSteps().forEach(this::add);
     }
 
-    /** Counts starts that were decided. */
-    void add(Step step, int tasks)
+    /** Counts one more run of a step. */
+    void add(Step step)
     {
         String customer = step.job().record().customer();
         if (customer != null)
         {
-            running.merge(customer, step.needs().times(tasks), Amounts::plus);
+            account(customer).add(step.needs());
         }
     }
 
+    private Account account(String customer)
+    {
+        return accounts.computeIfAbsent(customer,
+                name -> new Account(customers.named(name).map(Customer::quota).orElse(Customer.UNLIMITED)));
+    }
+
     /**
      * @param step a step
      * @param tasks how many of its tasks are to start
@@ -74,9 +110,8 @@
      */
     boolean allows(Step step, int tasks)
     {
-        return customers.named(step.job().record().customer()).map(Customer::quota)
-                .map(quota -> quota.fits(of(step.job().record().customer()).plus(step.needs().times(tasks))))
-                .orElse(true);
+        String customer = step.job().record().customer();
+        return customer == null || account(customer).allows(step.needs(), tasks);
     }
 
     /**
@@ -85,6 +120,8 @@
      */
     Amounts of(String customer)
     {
-        return running.getOrDefault(customer, Amounts.NONE);
+        Account account = account(customer);
+        return new Amounts(0, Math.toIntExact(account.cpuMillis), Math.toIntExact(account.memoryMib),
+                Math.toIntExact(account.accelerators));
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.worker.WorkerEntry;
@@ -321,6 +322,12 @@
         return List.copyOf(tasks);
     }
 
+    /** Visits the tasks; none may be added or taken away meanwhile. */
+    void forEachTask(Consumer<Task> visitor)
+    {
+        tasks.forEach(visitor);
+    }
+
     boolean isIdle()
     {
         return tasks.isEmpty();
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/job/QuotaCheckTest.java
@@ -0,0 +1,58 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.job;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+
+import org.gaugehollow.model.Amounts;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.junit.jupiter.api.Test;
+
+/** Which jobs could never run within a quota. */
+class QuotaCheckTest
+{
+    private static final Customer NORTH = new Customer("north", 1,
+            new Amounts(Customer.NO_LIMIT, 10_000, Customer.NO_LIMIT, 2));
+
+    private static JobSpec job(int count, int cpu, int accelerators, boolean gang)
+    {
+        StepSpec step = new StepSpec(count, cpu, 1, accelerators, 1, List.of(), false, gang, false, null,
+                null, 0, false, false, null, 0, false, 0);
+        return new JobSpec("text", List.of(step), 0, 0, 0);
+    }
+
+    private static void assertRefused(JobSpec job)
+    {
+        assertThat(assertThrows(GaugehollowException.class, () -> QuotaCheck.check(job, NORTH)).code())
+                .isEqualTo(ResultCode.QUOTA_TOO_SMALL);
+    }
+
+    @Test
+    void aTaskOrAWholeGangOverTheQuotaIsRefused()
+    {
+        assertRefused(job(1, 10_001, 0, false));
+        assertRefused(job(1, 1, 3, false));
+        assertRefused(job(5, 2_001, 0, true));
+    }
+
+    @Test
+    void aGangThatOverflowsSmallNumbersIsRefused()
+    {
+        assertRefused(job(10_000, 1 << 20, 0, true));
+    }
+
+    /** A wide step runs in waves. */
+    @Test
+    void whatFitsOneAfterTheOtherIsAccepted()
+    {
+        assertDoesNotThrow(() -> QuotaCheck.check(job(500, 2_001, 1, false), NORTH));
+        assertDoesNotThrow(() -> QuotaCheck.check(job(5, 2_000, 0, true), NORTH));
+    }
+}
