After a silence of the store a box decides nothing before it has read the configuration

Change: ConfigProbe, in the place of StoreProbe, reads the configuration while the store is silent and once after; until then callers are answered over peers, as during the silence.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/CellConfigKeeper.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CellConfigKeeper.java
@@ -33,7 +33,7 @@
     }
 
     @Override
-    public void put(String key, byte[] value, long revision)
+    public synchronized void put(String key, byte[] value, long revision)
     {
         if (!key.equals(platform.configKey()))
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/box/FreshConfigService.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/FreshConfigService.java
@@ -13,8 +13,8 @@
 
 /**
  * Answers no caller by a configuration that may be old: while the store does not answer this box, a
- * queue or a key that it does not know may have come into force since. Such a request goes to a box
- * that the store answers, as a request does that needs the store.
+ * queue or a key may have come into force or gone. Such a request goes to a box that the store
+ * answers.
  */
 final class FreshConfigService implements CallerService
 {
@@ -23,7 +23,7 @@
 
     /**
      * @param service decides by this box's configuration
-     * @param mayBeOld whether the store does not answer this box
+     * @param mayBeOld whether the configuration may have changed without this box knowing of it
      */
     FreshConfigService(CallerService service, BooleanSupplier mayBeOld)
     {
@@ -34,23 +34,11 @@
     @Override
     public HttpReply answer(HttpMessage request) throws InterruptedException
     {
-        try
+        if (mayBeOld.getAsBoolean())
         {
-            return service.answer(request);
+            throw new GaugehollowException(ResultCode.CONFIG_MAY_BE_OLD,
+                    "the store does not answer this box, or has only just begun to");
         }
-        catch (GaugehollowException e)
-        {
-            if (dependsOnConfig(e.code()) && mayBeOld.getAsBoolean())
-            {
-                throw new GaugehollowException(ResultCode.CONFIG_MAY_BE_OLD,
-                        "the store does not answer this box; by its configuration: " + e.getMessage(), e);
-            }
-            throw e;
-        }
-    }
-
-    private static boolean dependsOnConfig(ResultCode code)
-    {
-        return code == ResultCode.UNKNOWN_QUEUE || code == ResultCode.KEY_UNKNOWN;
+        return service.answer(request);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -32,7 +32,6 @@
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.KeyFollower;
 import org.gaugehollow.platform.MonitoredStore;
-import org.gaugehollow.platform.StoreProbe;
 import org.gaugehollow.schedule.AdviceLines;
 import org.gaugehollow.schedule.CellPlatform;
 import org.gaugehollow.schedule.OwnerElection;
@@ -67,6 +66,7 @@
     private final MonitoredStore store;
     private final Supervisor root;
     private final CellConfigKeeper config;
+    private final ConfigProbe configProbe;
     private final BoxRegistry registry;
     private final OwnerMonitor monitor;
     private final OwnerElection election;
@@ -119,6 +119,7 @@
         this.platform = new MonitoredPlatform(opened, store);
         this.root = new Supervisor(id, events);
         this.config = new CellConfigKeeper(platform, events);
+        this.configProbe = new ConfigProbe(store, platform.configKey(), config);
         this.directory = new PeerDirectory(loops, events, metrics);
         AdviceLines lines = new AdviceLines(platform.advice(), events);
         this.registry = new BoxRegistry(id,
@@ -129,7 +130,7 @@
         this.election = new OwnerElection(id, platform, config, monitor, registry, lines, SCORE,
                 root.child("owner"), settings.statusSeconds(), events);
         JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), events, metrics);
-        CallerService service = new FreshConfigService(callerPort.open(config, intake), store::isSilent);
+        CallerService service = new FreshConfigService(callerPort.open(config, intake), configProbe);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 call -> answerPeer(call, service));
         StoreHelpers helpers = new StoreHelpers(registry::peers, new PeerStoreQuestion(registry),
@@ -175,7 +176,7 @@
     {
         root.start("config", new KeyFollower(store, platform.configKey(), config, events));
         root.start("registry", registry);
-        root.start("store-probe", new StoreProbe(store, JobKeys.OWNER));
+        root.start("config-probe", configProbe);
         root.start("peers", new KeyFollower(store, JobKeys.BOXES, registry, events));
         root.start("election", election);
         root.start("rehearsal", new OwnerRehearsal(election, registry, SCORE));
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/MonitoredStore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/MonitoredStore.java
@@ -36,6 +36,7 @@
     private long answeredNanos;
     private long failedNanos;
     private boolean silent;
+    private long silences;
     private int open;
     /** Since when calls have been open without any answer. */
     private long unansweredNanos;
@@ -130,6 +131,7 @@
         if (!silent)
         {
             silent = true;
+            silences++;
             events.record(EventType.STORE_LOST, events.process(), why);
         }
     }
@@ -149,6 +151,12 @@
         return silent;
     }
 
+    /** @return how many times the store fell silent since the start */
+    public synchronized long silences()
+    {
+        return silences;
+    }
+
     /** @return whether the store answers this box and no call has failed for a while */
     public synchronized boolean isSteady()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/box/FreshConfigServiceTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/FreshConfigServiceTest.java
@@ -7,40 +7,121 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.HttpMessage;
+import org.gaugehollow.net.HttpReply;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.KeyFollower;
+import org.gaugehollow.platform.MonitoredStore;
+import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.Test;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 
-/** What a box that the store does not answer says of queues and keys that it does not know. */
+/** By which configuration a box answers that the store does not answer, or only just again. */
 class FreshConfigServiceTest
 {
     private static final HttpMessage REQUEST = new HttpMessage("GET", "/q/", "", new DefaultHttpHeaders(),
             new byte[0]);
+    private static final String KEY = "config";
+
+    private final FakeStore store = new FakeStore();
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final AtomicLong clock = new AtomicLong();
+    private final MonitoredStore monitored = new MonitoredStore(store, events, clock::get);
+    private final AtomicReference<String> config = new AtomicReference<>("");
+    private final ConfigProbe probe = new ConfigProbe(monitored, KEY, new KeyFollower.Listener()
+    {
+        @Override
+        public void put(String key, byte[] value, long revision)
+        {
+            config.set(new String(value, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void removed(String key, long revision)
+        {
+            throw new AssertionError("nothing is removed here");
+        }
+
+        @Override
+        public void listed(long revision)
+        {
+            throw new AssertionError("nothing is listed here");
+        }
+    });
+    private final CallerService service = new FreshConfigService(request -> HttpReply.json(200, config.get()),
+            probe);
+
+    private void write(String value) throws InterruptedException
+    {
+        store.commit(new StoreTransaction().put(KEY, value.getBytes(StandardCharsets.UTF_8)));
+    }
 
-    private static ResultCode codeOf(ResultCode refusal, boolean silent)
+    private void silence()
     {
-        CallerService service = new FreshConfigService(request ->
+        store.setDown(true);
+        clock.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        for (int i = 0; i < 2; i++)
         {
-            throw new GaugehollowException(refusal, "refused");
-        }, () -> silent);
+            assertThrows(GaugehollowException.class, () -> monitored.get("other"));
+        }
+        assertThat(monitored.isSilent()).isTrue();
+    }
+
+    private ResultCode refusal()
+    {
         return assertThrows(GaugehollowException.class, () -> service.answer(REQUEST)).code();
     }
 
     @Test
-    void anUnknownKeyOrQueueIsNoAnswerWhileTheConfigurationMayBeOld()
+    void whileTheStoreIsSilentNothingIsDecidedHere() throws InterruptedException
+    {
+        assertThat(service.answer(REQUEST).status()).isEqualTo(200);
+        silence();
+        assertThat(refusal()).isEqualTo(ResultCode.CONFIG_MAY_BE_OLD);
+    }
+
+    /**
+     * On a played day the store was back for a box at 13.04 s, which then let in two jobs, one with a
+     * key that the box had been told over a peer to be gone: its watch brought the configuration at
+     * 13.30 s.
+     */
+    @Test
+    void afterASilenceTheConfigurationIsReadBeforeAnythingIsDecided() throws InterruptedException
     {
-        assertThat(codeOf(ResultCode.KEY_UNKNOWN, true)).isEqualTo(ResultCode.CONFIG_MAY_BE_OLD);
-        assertThat(codeOf(ResultCode.UNKNOWN_QUEUE, true)).isEqualTo(ResultCode.CONFIG_MAY_BE_OLD);
+        write("old");
+        probe.read();
+        silence();
+        probe.read();
+        store.setDown(false);
+        write("new");
+        monitored.get("other");
+        assertThat(monitored.isSilent()).isFalse();
+        assertThat(refusal()).isEqualTo(ResultCode.CONFIG_MAY_BE_OLD);
+        probe.read();
+        assertThat(service.answer(REQUEST).status()).isEqualTo(200);
+        assertThat(config.get()).isEqualTo("new");
     }
 
     @Test
-    void otherwiseTheRefusalStands()
+    void eachSilenceNeedsAReadingOfItsOwn() throws InterruptedException
     {
-        assertThat(codeOf(ResultCode.KEY_UNKNOWN, false)).isEqualTo(ResultCode.KEY_UNKNOWN);
-        assertThat(codeOf(ResultCode.UNKNOWN_QUEUE, false)).isEqualTo(ResultCode.UNKNOWN_QUEUE);
-        assertThat(codeOf(ResultCode.BAD_REQUEST, true)).isEqualTo(ResultCode.BAD_REQUEST);
+        silence();
+        store.setDown(false);
+        probe.read();
+        assertThat(service.answer(REQUEST).status()).isEqualTo(200);
+        silence();
+        store.setDown(false);
+        monitored.get("other");
+        assertThat(refusal()).isEqualTo(ResultCode.CONFIG_MAY_BE_OLD);
     }
 }
