A job of before there were customers may be handed in again by one

Cause: by reading: its id was refused as another customer's.

Measured: CustomersJobsTest with the case added, 6 tests pass; not run without the change.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -143,8 +143,8 @@
     /** An id that another customer's job has is not this caller's; its own job was not taken. */
     private void refuseAnothersId(JobScope scope, String id) throws InterruptedException
     {
-        Optional<JobRecord> known = readAfterWrite(id);
-        if (known.isPresent() && !scope.customer().equals(known.get().customer()))
+        Optional<String> owner = readAfterWrite(id).map(JobRecord::customer);
+        if (owner.isPresent() && !owner.get().equals(scope.customer()))
         {
             events.record(EventType.JOB_REFUSED, id,
                     ResultCode.JOB_CONFLICT + ": asked for by " + scope.customer());
--- a/gaugehollow/src/test/java/org/gaugehollow/box/CustomersJobsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/CustomersJobsTest.java
@@ -128,5 +128,7 @@
         submit(JobScope.of(QUEUE));
         assertThat(box.state(NORTH, ID)).isEqualTo(JobState.QUEUED);
         assertThat(box.state(JobScope.of(QUEUE), ID)).isEqualTo(JobState.QUEUED);
+        submit(NORTH);
+        assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
     }
 }
