The last lines of a box that is stopped are written

Cause: lines that wait in the log's buffer were lost when the process ended (by reading).

Change: a planned stop flushes the log, for 0.2 s at most.

--- a/gaugehollow/src/main/java/org/gaugehollow/event/BoundedPrintStream.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/BoundedPrintStream.java
@@ -14,15 +14,20 @@
 /**
  * A stream of log lines that never blocks its writers: a thread of its own passes the lines on, and
  * those that come while its buffer is full are dropped and counted. Each line begins with the time
- * at which it was printed.
+ * at which it was printed. Only whole lines are taken; anything else that is printed is ignored.
  */
 public final class BoundedPrintStream extends PrintStream
 {
     /** Lines that wait for a slow reader; at some 120 bytes a line a quarter of a megabyte. */
     static final int CAPACITY = 2048;
 
+    private static final long LONGEST_FLUSH_MILLIS = 200;
+    private static final long STEP_MILLIS = 5;
+
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
+    /** Lines that were taken and not passed on yet. */
+    private final AtomicLong pending = new AtomicLong();
     private final PrintStream target;
     private final LongSupplier clock;
 
@@ -48,8 +53,10 @@
     @Override
     public void println(String line)
     {
+        pending.incrementAndGet();
         if (!lines.offer(clock.getAsLong() + " " + line))
         {
+            pending.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -60,6 +67,24 @@
         println(String.valueOf(line));
     }
 
+    /** Waits until all lines were passed on, but not for a reader that has stopped. */
+    @Override
+    public void flush()
+    {
+        long end = clock.getAsLong() + LONGEST_FLUSH_MILLIS;
+        try
+        {
+            while (pending.get() > 0 && clock.getAsLong() < end)
+            {
+                Thread.sleep(STEP_MILLIS);
+            }
+        }
+        catch (InterruptedException e)
+        {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** @return how many lines were dropped since the start */
     public long dropped()
     {
@@ -73,6 +98,7 @@
             while (true)
             {
                 target.println(lines.take());
+                pending.decrementAndGet();
             }
         }
         catch (InterruptedException e)
--- a/gaugehollow/src/test/java/org/gaugehollow/event/BoundedPrintStreamTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/event/BoundedPrintStreamTest.java
@@ -41,6 +41,22 @@
         }
     }
 
+    /** So the last lines of a box that is stopped are not lost. */
+    @Test
+    @Timeout(10)
+    void aFlushWaitsForTheLinesThatWereTaken()
+    {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        BoundedPrintStream stream = BoundedPrintStream.start(new PrintStream(written, true), () -> TIME);
+        for (int i = 0; i < BoundedPrintStream.CAPACITY / 2; i++)
+        {
+            stream.println("line " + i);
+        }
+        stream.flush();
+        assertThat(written.toString(StandardCharsets.UTF_8).lines().count())
+                .isEqualTo(BoundedPrintStream.CAPACITY / 2);
+    }
+
     /** A writer is never held up; what the buffer does not hold is counted as dropped. */
     @Test
     @Timeout(10)
