A worker that falls silent or is back tells of its lease, its clock and its ends

Cause: the log could not tell whether the owner measures a worker's lease, and numbers its ends, over two of its lives: E402 and E403 said only that a look failed or was answered. Change: E402 gives the rest of the lease and the number of runs, E403 compares what the worker shows with what was known of it.

--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -46,8 +46,10 @@
 
     WORKER_CLAIMED(400, Level.INFO, "A worker was claimed and what runs on it was counted."),
     WORKER_CLAIM_FAILED(401, Level.WARN, "A worker could not be claimed."),
-    WORKER_OUT(402, Level.WARN, "A worker gets no new work, by its own evidence."),
-    WORKER_BACK(403, Level.INFO, "A worker gets work again."),
+    WORKER_OUT(402, Level.WARN,
+            "A worker gets no new work, by its own evidence; of a job's worker the text tells how long its runs' lease lasts."),
+    WORKER_BACK(403, Level.INFO,
+            "A worker gets work again; of a job's worker the text compares what it shows with what was known of it."),
     WORKER_LEAVING(404, Level.INFO, "A worker is leaving and gets no new work."),
 
     WORKER_LOST(405, Level.WARN, "Nothing of a worker's runs is left; the text says how that is known."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.supervise.SupervisedTask;
@@ -106,7 +107,7 @@
             }
             case NOT_SENT -> Thread.sleep(RETRY_MILLIS);
             default -> {
-                noteReach(false, answer.result());
+                noteReach(false, () -> "a look ended as " + answer.result() + "; " + leaseLeft());
                 noteMiss(SteadyClock.nanos() - sentNanos < timeoutMillis * NANOS_PER_MILLI);
                 if (isUnlistedAndIdle())
                 {
@@ -160,7 +161,7 @@
     private void took(HoldAnswer answer, long sentNanos)
     {
         boolean isBack = !reachable;
-        noteReach(true, answer.result());
+        noteReach(true, () -> "a look ended as " + answer.result() + "; " + account(answer));
         long newest = recordingUpTo;
         for (EndedRun end : answer.ended())
         {
@@ -204,13 +205,36 @@
         }
     }
 
-    private void noteReach(boolean now, OrderResult result)
+    private void noteReach(boolean now, Supplier<String> text)
     {
         if (now != reachable)
         {
             reachable = now;
             EventType type = now ? EventType.WORKER_BACK : EventType.WORKER_OUT;
-            term.events().record(type, slot.id(), "a look ended as " + result);
+            term.events().record(type, slot.id(), text.get());
+        }
+    }
+
+    /** What a worker that is back shows beside what was known of it. */
+    private String account(HoldAnswer answer)
+    {
+        String ends = answer.ended().isEmpty()
+                ? "no ends"
+                : "ends from " + answer.ended().getFirst().number();
+        synchronized (term.ledger())
+        {
+            return "it shows " + answer.running().size() + " runs and " + ends + " at " + answer.clockMillis()
+                    + " of its clock, " + slot.tasks().size() + " runs and ends up to " + recordingUpTo
+                    + " at " + slot.clockMillis() + " were known";
+        }
+    }
+
+    private String leaseLeft()
+    {
+        synchronized (term.ledger())
+        {
+            long left = (slot.leaseEndNanos() - SteadyClock.nanos()) / NANOS_PER_MILLI;
+            return "the lease of its " + slot.tasks().size() + " runs is over in " + left + " ms";
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -128,6 +128,12 @@
         return lapsing;
     }
 
+    /** The worker's clock as the newest answer brought it, in milliseconds; 0 if none did. */
+    long clockMillis()
+    {
+        return clockMillis;
+    }
+
     /** Takes note of the worker's clock as an answer brought it. */
     void readClock(long millis, long nowNanos)
     {
