The owner tells the lives of a worker apart that starts again under its id

What callers saw: tasks that had ended well ran again, up to four times on one worker; jobs stood still for good with most of the room free. Cause: a worker that starts again under the id that it had counts its ends and its clock anew, and the owner read on in the session of the life before. Ends up to the highest number of that life were passed over, so their runs were missing from the next look and their tasks were started again. Leases were measured from deadlines on the clock of one life to the clock of the next, so a worker that was lost later never counted as lapsed. Tickets of the advice service, and workers that it had named unfit, were carried over as well. Change: a life is the worker's id and the moment of its start. Slots, sessions, records of placements, leases, crashes and advice go by lives. A new connection is asked for the life it leads to before any order goes over it, since orders name the id alone. The first look that a life answers ends the lives that were known before it was sent. Why it holds: a connection ends with the process at its other end, so an order or a number of a life can reach no other; lists that do not tell their life are taken for no answer.

--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -74,6 +74,7 @@
     private final String address;
     private final BlockingDeque<Part> parts = new LinkedBlockingDeque<>();
     private boolean busy;
+    private boolean answered;
     private String lastExchange;
 
     private HttpConnection(NetLoops loops, InetSocketAddress target, int timeoutMillis)
@@ -123,6 +124,12 @@
         return channel.isActive() && !busy && parts.isEmpty();
     }
 
+    /** @return whether a whole answer has come over it */
+    public boolean hasAnswered()
+    {
+        return answered;
+    }
+
     /**
      * Sends a request and waits for the whole answer.
      *
@@ -209,6 +216,7 @@
             }
         }
         busy = false;
+        answered = true;
         if (!"keep-alive".equalsIgnoreCase(head.headers().get(HttpHeaderNames.CONNECTION, "keep-alive")))
         {
             close();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDesk.java
@@ -35,6 +35,7 @@
     /** What is known of one step. */
     private static final class StepAdvice
     {
+        /** By life of a worker. */
         private final Map<String, HeldTicket> healthy = new HashMap<>();
         private final Set<String> asked = new HashSet<>();
         private boolean asking;
@@ -129,7 +130,7 @@
         {
             return;
         }
-        List<String> workers = workersToAsk(step, advice);
+        List<WorkerSlot> workers = workersToAsk(step, advice);
         if (workers.isEmpty())
         {
             return;
@@ -139,7 +140,7 @@
         Thread.ofVirtual().name("advice-" + step.name()).start(() -> ask(step, advice, workers, spec));
     }
 
-    private List<String> workersToAsk(Step step, StepAdvice advice)
+    private List<WorkerSlot> workersToAsk(Step step, StepAdvice advice)
     {
         List<WorkerSlot> workers = new ArrayList<>();
         for (WorkerSlot slot : ledger.workers())
@@ -153,11 +154,11 @@
         return new AdviceQuestion(step, advice.healthy.keySet()).choose(workers);
     }
 
-    private void ask(Step step, StepAdvice advice, List<String> workers, AdviceSpec spec)
+    private void ask(Step step, StepAdvice advice, List<WorkerSlot> workers, AdviceSpec spec)
     {
-        AdviceLines.Call call = new AdviceLines.Call(step.name(), workers,
-                spec.expectedMillis(workers.size()), step.job().queue().priority(),
-                step.job().acceptedRevision());
+        List<String> ids = workers.stream().map(WorkerSlot::worker).toList();
+        AdviceLines.Call call = new AdviceLines.Call(step.name(), ids, spec.expectedMillis(workers.size()),
+                step.job().queue().priority(), step.job().acceptedRevision());
         Optional<Advice> answer = Optional.empty();
         try
         {
@@ -182,7 +183,8 @@
         }
     }
 
-    private static void take(StepAdvice advice, List<String> workers, Optional<Advice> answer,
+    /** What the service says of a worker holds for its present life alone. */
+    private static void take(StepAdvice advice, List<WorkerSlot> workers, Optional<Advice> answer,
             AdviceSpec spec)
     {
         long now = SteadyClock.nanos();
@@ -192,11 +194,19 @@
             advice.notBeforeNanos = now + PAUSE_AFTER_FAULT_NANOS;
             return;
         }
-        advice.asked.addAll(workers);
+        Map<String, String> livesByWorker = new HashMap<>();
+        workers.forEach(slot -> livesByWorker.put(slot.worker(), slot.id()));
+        advice.asked.addAll(livesByWorker.values());
         long valid = answer.get().validMillis() > 0 ? answer.get().validMillis() : spec.validMillis();
         long end = now + (valid - MARGIN_MILLIS) * NANOS_PER_MILLI;
         advice.endNanos = end;
-        answer.get().tickets()
-                .forEach(ticket -> advice.healthy.put(ticket.worker(), new HeldTicket(ticket.text(), end)));
+        for (Advice.Ticket ticket : answer.get().tickets())
+        {
+            String life = livesByWorker.get(ticket.worker());
+            if (life != null)
+            {
+                advice.healthy.put(life, new HeldTicket(ticket.text(), end));
+            }
+        }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceQuestion.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceQuestion.java
@@ -36,7 +36,7 @@
 
     /**
      * @param step the step
-     * @param healthy the workers that are known to be allowed for it
+     * @param healthy the lives of workers that are known to be allowed for it
      */
     AdviceQuestion(Step step, Set<String> healthy)
     {
@@ -53,9 +53,9 @@
 
     /**
      * @param workers workers that may be asked about
-     * @return the ids of those that are
+     * @return those that are
      */
-    List<String> choose(Collection<WorkerSlot> workers)
+    List<WorkerSlot> choose(Collection<WorkerSlot> workers)
     {
         List<Candidate> candidates = new ArrayList<>();
         for (WorkerSlot slot : workers)
@@ -69,11 +69,11 @@
         return takeEnough(candidates);
     }
 
-    private List<String> takeEnough(List<Candidate> candidates)
+    private List<WorkerSlot> takeEnough(List<Candidate> candidates)
     {
         double wanted = step.waiting().size() * SPARE;
         double expected = 0;
-        List<String> chosen = new ArrayList<>();
+        List<WorkerSlot> chosen = new ArrayList<>();
         for (Candidate candidate : candidates)
         {
             boolean enough = expected >= wanted && chosen.size() >= FEWEST;
@@ -81,10 +81,10 @@
             {
                 return chosen;
             }
-            String id = candidate.slot().id();
-            chosen.add(id);
+            WorkerSlot slot = candidate.slot();
+            chosen.add(slot);
             // where none has room yet, each will have some in time
-            expected += Math.max(1, candidate.room()) * (healthy.contains(id) ? 1 : LIKELY_SHARE);
+            expected += Math.max(1, candidate.room()) * (healthy.contains(slot.id()) ? 1 : LIKELY_SHARE);
         }
         return chosen;
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerRehearsal.java
@@ -25,6 +25,7 @@
 import org.gaugehollow.worker.OrderResult;
 import org.gaugehollow.worker.RunEnd;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 
 /**
  * Goes through an owner's decisions on made-up jobs, in memory only, while another box owns the
@@ -134,8 +135,8 @@
 
         private static WorkerEntry worker(int number)
         {
-            return new WorkerEntry("worker-" + number, SERVICE, "", "hall-" + number % 2, false, -1,
-                    new Amounts(0, WORKER_CPU, MEMORY_MIB, 0), Set.of(), "");
+            return new WorkerEntry(WorkerLife.only("worker-" + number), SERVICE, "", "hall-" + number % 2,
+                    false, -1, new Amounts(0, WORKER_CPU, MEMORY_MIB, 0), Set.of(), "");
         }
 
         private void acceptAll(QueueSpec queue, int first)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -313,9 +313,25 @@
             events.record(EventType.WORKER_LOST, slot.id(), end.evidence());
         }
         applyLoss(effects);
+        roster.over(slot);
         wake();
     }
 
+    /**
+     * A worker has answered a look in the life of a slot: its other lives are over, unless they became
+     * known only after the look was sent.
+     */
+    void endOtherLives(WorkerSlot slot, long sentNanos)
+    {
+        List<WorkerSlot> over;
+        synchronized (ledger)
+        {
+            over = ledger.slots().otherLives(slot).stream().filter(life -> life.knownNanos() - sentNanos < 0)
+                    .toList();
+        }
+        over.forEach(this::otherLife);
+    }
+
     /** A worker refuses an order of this term, because it has had one of a newer one. */
     void fencedBy(WorkerSlot slot)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRoster.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRoster.java
@@ -17,7 +17,9 @@
 import org.gaugehollow.worker.WorkerEntry;
 
 /**
- * The workers that the store lists, and the owner's sessions with them. Entries may come from
+ * The workers that the store lists, and the owner's sessions with their lives. A worker that starts
+ * again under its id gets a new session, since its numbers of ends and its clock begin anew: read
+ * on in the session of the life before, ends of tasks would be passed over. Entries may come from
  * another writer: one that describes no worker, or one of a service that the configuration does not
  * name, opens no session. A worker whose entry turns bad keeps its session, so that its runs are
  * looked after, and gets nothing new.
@@ -40,9 +42,10 @@
      * An entry that was read.
      *
      * @param revision its revision
+     * @param life the life that it names, or the one named before if it is refused; null for none
      * @param refused whether it named no worker to use
      */
-    private record Reading(long revision, boolean refused)
+    private record Reading(long revision, String life, boolean refused)
     {
     }
 
@@ -60,10 +63,10 @@
         this.config = config;
     }
 
-    /** The session with a worker, if there is one. */
-    Optional<WorkerSession> session(String worker)
+    /** The session with a life of a worker, if there is one. */
+    Optional<WorkerSession> session(String life)
     {
-        return Optional.ofNullable(sessions.get(worker));
+        return Optional.ofNullable(sessions.get(life));
     }
 
     @Override
@@ -75,15 +78,28 @@
         }
         try
         {
-            if (list(platform.readWorker(key, value)))
+            WorkerEntry entry = platform.readWorker(key, value);
+            if (list(entry))
             {
-                readings.put(key, new Reading(revision, false));
+                String life = entry.life().text();
+                Reading before = readings.put(key, new Reading(revision, life, false));
+                unlistIfReplaced(before, life);
             }
         }
         catch (GaugehollowException e)
         {
-            readings.put(key, new Reading(revision, true));
-            refuse(platform.workerId(key), e.getMessage());
+            Reading before = readings.get(key);
+            String life = before == null ? null : before.life();
+            readings.put(key, new Reading(revision, life, true));
+            refuse(platform.workerId(key), life, e.getMessage());
+        }
+    }
+
+    private void unlistIfReplaced(Reading before, String life)
+    {
+        if (before != null && before.life() != null && !before.life().equals(life))
+        {
+            unlist(before.life());
         }
     }
 
@@ -92,7 +108,7 @@
     {
         Reading reading = readings.get(key);
         return reading != null && reading.revision() == revision
-                && (reading.refused() || sessions.containsKey(platform.workerId(key)));
+                && (reading.refused() || sessions.containsKey(reading.life()));
     }
 
     /**
@@ -101,31 +117,35 @@
     private boolean list(WorkerEntry entry)
     {
         WorkerSlot slot;
+        String life = entry.life().text();
         synchronized (term.ledger())
         {
-            boolean isKnown = term.ledger().worker(entry.id()).isPresent();
+            boolean isKnown = term.ledger().worker(life).isPresent();
             if (!isKnown && !config.get().mayHaveService(entry.service()))
             {
                 return false;
             }
             slot = term.ledger().list(entry);
         }
-        if (!sessions.containsKey(entry.id()))
+        if (!sessions.containsKey(life))
         {
             WorkerSession session = new WorkerSession(term, slot,
                     platform.openWorker(entry, term.lease()::mayOrder));
-            sessions.put(entry.id(), session);
-            supervisor.start("worker-" + entry.id(), session);
+            sessions.put(life, session);
+            supervisor.start("worker-" + life, session);
         }
         term.wake();
         return true;
     }
 
-    private void refuse(String worker, String why)
+    private void refuse(String worker, String life, String why)
     {
-        synchronized (term.ledger())
+        if (life != null)
         {
-            term.ledger().worker(worker).ifPresent(WorkerSlot::unlisted);
+            synchronized (term.ledger())
+            {
+                term.ledger().worker(life).ifPresent(WorkerSlot::unlisted);
+            }
         }
         refusals++;
         if (refusals <= MOST_REFUSALS)
@@ -138,12 +158,21 @@
     @Override
     public void removed(String key, long revision)
     {
-        readings.remove(key);
+        Reading reading = readings.remove(key);
+        if (reading != null && reading.life() != null)
+        {
+            unlist(reading.life());
+        }
+    }
+
+    /** The list names a life no more; its session goes on while it holds something. */
+    private void unlist(String life)
+    {
         WorkerSlot slot;
         boolean idle;
         synchronized (term.ledger())
         {
-            slot = term.ledger().worker(platform.workerId(key)).orElse(null);
+            slot = term.ledger().worker(life).orElse(null);
             idle = slot != null && slot.isIdle();
             if (slot != null)
             {
@@ -156,6 +185,20 @@
         }
     }
 
+    /**
+     * A life is over. While the list still names it, its session is kept, so that the entry opens no
+     * other.
+     */
+    void over(WorkerSlot slot)
+    {
+        Reading reading = readings.get(platform.workerPrefix() + slot.worker());
+        boolean isListed = reading != null && slot.id().equals(reading.life());
+        if (!isListed)
+        {
+            forget(slot);
+        }
+    }
+
     @Override
     public void listed(long revision)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -47,6 +47,7 @@
     private long lastSeen;
     private long recordingUpTo;
     private boolean reachable = true;
+    private boolean answered;
 
     WorkerSession(OwnerTerm term, WorkerSlot slot, WorkerPort port)
     {
@@ -160,6 +161,11 @@
 
     private void took(HoldAnswer answer, long sentNanos)
     {
+        if (!answered)
+        {
+            answered = true;
+            term.endOtherLives(slot, sentNanos);
+        }
         boolean isBack = !reachable;
         noteReach(true, () -> "a look ended as " + answer.result() + "; " + account(answer));
         long newest = recordingUpTo;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -12,6 +12,7 @@
 
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 
 /** One life of a worker in the owner's memory. Guarded by the ledger's lock. */
 final class WorkerSlot
@@ -24,6 +25,8 @@
     private static final long ANSWERS = Long.MAX_VALUE;
 
     private final String id;
+    private final String worker;
+    private final long knownNanos;
     private final Set<Task> tasks = new LinkedHashSet<>();
     private final List<SilentRun> leftRuns = new ArrayList<>();
     private final WorkerHealth health = new WorkerHealth();
@@ -47,11 +50,19 @@
     private long deadlineMillis;
     private long leaseEndNanos;
 
-    /** A worker of which nothing is known yet but that its runs have ended by then. */
-    WorkerSlot(String id, long leaseEndNanos)
+    /**
+     * A life of which nothing is known yet but when its runs have ended.
+     *
+     * @param id the life as text, see {@link WorkerLife#text}
+     * @param leaseEndNanos when its runs have ended
+     * @param knownNanos the monotonic clock now
+     */
+    WorkerSlot(String id, long leaseEndNanos, long knownNanos)
     {
         this.id = id;
+        this.worker = WorkerLife.parse(id).worker();
         this.leaseEndNanos = leaseEndNanos;
+        this.knownNanos = knownNanos;
     }
 
     void take(Task task)
@@ -303,11 +314,24 @@
         return held;
     }
 
+    /** The life as text, see {@link WorkerLife#text}. */
     String id()
     {
         return id;
     }
 
+    /** The id of the worker, which its next life may have as well. */
+    String worker()
+    {
+        return worker;
+    }
+
+    /** Since when this owner knows of the life. */
+    long knownNanos()
+    {
+        return knownNanos;
+    }
+
     WorkerEntry entry()
     {
         return entry;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
@@ -15,7 +15,7 @@
 
 import org.gaugehollow.worker.WorkerEntry;
 
-/** The workers that the owner knows, listed or not. Guarded by the ledger's lock. */
+/** The lives of workers that the owner knows, listed or not. Guarded by the ledger's lock. */
 final class WorkerSlots
 {
     private final LongSupplier nanoTime;
@@ -54,15 +54,23 @@
 
     private WorkerSlot create(String id)
     {
-        WorkerSlot slot = new WorkerSlot(id, recordedLeaseEnds.getOrDefault(id, unknownLeaseEnd));
+        long leaseEnd = recordedLeaseEnds.getOrDefault(id, unknownLeaseEnd);
+        WorkerSlot slot = new WorkerSlot(id, leaseEnd, nanoTime.getAsLong());
         slot.setLapsing(lapsing.contains(id));
         return slot;
     }
 
-    /** Takes a worker's newest entry; returns its slot. */
+    /** The other lives of a worker, of which at most one goes on. */
+    List<WorkerSlot> otherLives(WorkerSlot one)
+    {
+        return slots.values().stream().filter(slot -> slot != one && slot.worker().equals(one.worker()))
+                .toList();
+    }
+
+    /** Takes a worker's newest entry; returns the slot of the life that wrote it. */
     WorkerSlot list(WorkerEntry entry)
     {
-        WorkerSlot slot = get(entry.id());
+        WorkerSlot slot = get(entry.life().text());
         slot.setEntry(entry, nanoTime.getAsLong());
         return slot;
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/worker/WorkerEntry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/worker/WorkerEntry.java
@@ -9,9 +9,9 @@
 import org.gaugehollow.model.Amounts;
 
 /**
- * A worker as the platform lists it. Each life of a worker has an id of its own.
+ * A worker as the platform lists it.
  *
- * @param id the id of this life
+ * @param life the life that wrote the entry
  * @param service the service it belongs to
  * @param address where it takes orders, IP number and port
  * @param hall the data hall
@@ -21,7 +21,7 @@
  * @param labels its labels, the rack among them
  * @param rack the rack it stands in, or an empty text
  */
-public record WorkerEntry(String id, String service, String address, String hall, boolean draining,
+public record WorkerEntry(WorkerLife life, String service, String address, String hall, boolean draining,
         long remainingMillis, Amounts capacity, Set<String> labels, String rack)
 {
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceQuestionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceQuestionTest.java
@@ -49,7 +49,8 @@
 
     private List<String> ask(Step step, Set<String> healthy)
     {
-        return new AdviceQuestion(step, healthy).choose(ledger.workers());
+        return new AdviceQuestion(step, healthy).choose(ledger.workers()).stream().map(WorkerSlot::id)
+                .toList();
     }
 
     private static boolean isRoomy(String worker)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 import org.junit.jupiter.api.Test;
 
 /** What counts towards giving a task up, and what does not. */
@@ -174,8 +175,8 @@
         accept();
         WorkerSlot slot = list();
         startAll();
-        ledger.list(new WorkerEntry(slot.id(), "service", "127.0.0.1:1", "hall", true, 1_000,
-                new Amounts(0, WORKER_CPU, 32_768, 0), Set.of(), "r"));
+        ledger.list(new WorkerEntry(WorkerLife.parse(slot.id()), "service", "127.0.0.1:1", "hall", true,
+                1_000, new Amounts(0, WORKER_CPU, 32_768, 0), Set.of(), "r"));
         slot.unlisted();
         assertThat(slot.isLeaving()).isTrue();
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -145,7 +145,7 @@
     @Override
     public WorkerPort openWorker(WorkerEntry worker, BooleanSupplier mayOrder)
     {
-        return workers.get(worker.id());
+        return workers.get(worker.life().worker());
     }
 
     @Override
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/GuardsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/GuardsTest.java
@@ -16,6 +16,7 @@
 import org.gaugehollow.model.Amounts;
 import org.gaugehollow.worker.HoldAnswer.RunningRun;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 import org.junit.jupiter.api.Test;
 
 /** Leaving workers, runs that stand still, and tasks that disturb others. */
@@ -58,8 +59,8 @@
 
     private void drain(long remainingMillis)
     {
-        ledger.list(new WorkerEntry("w1", "service", "127.0.0.1:1", "hall", true, remainingMillis,
-                new Amounts(0, 64_000, 32_768, 0), Set.of(), "r"));
+        ledger.list(new WorkerEntry(WorkerLife.only("w1"), "service", "127.0.0.1:1", "hall", true,
+                remainingMillis, new Amounts(0, 64_000, 32_768, 0), Set.of(), "r"));
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -22,6 +22,7 @@
 import org.gaugehollow.worker.OrderResult;
 import org.gaugehollow.worker.RunEnd;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 
 /** Jobs, workers and answers for the tests of this package. */
 final class TestJobs
@@ -75,7 +76,7 @@
 
     static WorkerEntry worker(String id, int cpu)
     {
-        return new WorkerEntry(id, "service", "127.0.0.1:1", "hall", false, -1,
+        return new WorkerEntry(WorkerLife.only(id), "service", "127.0.0.1:1", "hall", false, -1,
                 new Amounts(0, cpu, 32_768, 0), Set.of("a", "r1-1"), "r1-1");
     }
 
