Known red: the shrunk events under which a customer runs more than its quota

Cause: traced before, not mended yet: the next owner knows a job that is over by a short record without its tasks.

--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
@@ -7,6 +7,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -294,6 +295,20 @@
         noCustomerRunsMoreThanItsQuota(List.of(0, 0, 0, 0, 2, 11, 3, 7, 7, 2, 5, 16, 47));
     }
 
+    /**
+     * A job failed for good while another of its tasks still ran and was to be stopped. The next owner
+     * knew a job that is over by a short record without its tasks, so the run did not count until its
+     * end, and seven units ran under a quota of six.
+     */
+    @Example
+    void aJobThatIsOverKeepsItsRunsOverAChangeOfOwner()
+    {
+        List<Integer> events = new ArrayList<>(List.of(0, 36, 11, 0, 0, 2, 0, 0, 3));
+        events.addAll(Collections.nCopies(15, 0));
+        events.addAll(List.of(4, 16, 0, 0, 0, 0, 0, 13, 0, 2, 0, 0, 0, 0, 76, 34, 0, 0, 11));
+        noCustomerRunsMoreThanItsQuota(events);
+    }
+
     @Property(tries = 500)
     void noCustomerRunsMoreThanItsQuota(
             @ForAll @Size(min = 1, max = 80) List<@IntRange(min = 0, max = 120) Integer> events)
