What is over keeps its tasks in the store until nothing of it may run

What callers saw: nothing yet; found by the property of quotas, where a customer ran 7 units under a quota of 6. Cause: a job that failed or was cancelled was written without its tasks at once, so the next owner took runs that were still being stopped for unknown ones, and did not count them until their end. Change: the progress of such a job keeps its tasks, and its record stays whole, until no run of it is left; the next owner restores it and sends the stops. Why it holds: the store then tells of each run that may go on, whoever reads it.

--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -11,7 +11,8 @@
  *
  * @param queue the name of the job's queue
  * @param state the state shown to callers
- * @param rounds the progress of each repetition that has begun; null once the state is final
+ * @param rounds the progress of each repetition that has begun; null once the state is final and
+ *            nothing of the job may run any more
  * @param customer the name of the job's customer; null if it has none
  */
 public record JobProgress(String queue, JobState state, List<RoundProgress> rounds, String customer)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -197,7 +197,7 @@
 
     JobProgress progress()
     {
-        if (state.isFinal())
+        if (isFinished())
         {
             return new JobProgress(record.queue().name(), state, null, record.customer());
         }
@@ -212,6 +212,12 @@
         return rounds.values().stream().flatMap(List::stream).toList();
     }
 
+    /** Whether it is over and nothing of it may run any more. */
+    boolean isFinished()
+    {
+        return state.isFinal() && occupying().isEmpty();
+    }
+
     /** The tasks that take room somewhere. */
     List<Task> occupying()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -231,7 +231,7 @@
         {
             job.beginWrite();
             transaction.put(JobKeys.progress(job.id()), JobCodec.writeProgress(job.progress()));
-            if (job.state().isFinal() && room > 0)
+            if (job.isFinished() && room > 0)
             {
                 transaction.put(JobKeys.job(job.id()), JobCodec.writeRecord(job.record().whenOver()));
                 room--;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -76,13 +76,13 @@
         {
             return effects;
         }
-        if (record.over() || progress != null && progress.state().isFinal())
+        boolean isOver = record.over() || progress != null && progress.state().isFinal();
+        if (isOver)
         {
-            retired.add(record.id());
+            acceptOver(record, revision, progress, effects);
             return effects;
         }
-        Job job = new Job(record, revision);
-        config.queue(record.queue().name()).ifPresent(job::setQueue);
+        Job job = newJob(record, revision);
         job.beginDueRounds(wallMillis);
         if (progress != null)
         {
@@ -97,6 +97,31 @@
         return effects;
     }
 
+    private Job newJob(JobRecord record, long revision)
+    {
+        Job job = new Job(record, revision);
+        config.queue(record.queue().name()).ifPresent(job::setQueue);
+        return job;
+    }
+
+    /**
+     * Runs of a job that is over may go on until their stops are known to be done; they take room and
+     * count against the customer's quota, whoever owns the cell.
+     */
+    private void acceptOver(JobRecord record, long revision, JobProgress progress, Effects effects)
+    {
+        if (record.over() || progress.rounds() == null)
+        {
+            retired.add(record.id());
+            return;
+        }
+        Job job = newJob(record, revision);
+        restore(job, progress);
+        jobs.put(job.id(), job);
+        stopAll(job, effects);
+        effects.changed(job);
+    }
+
     private void restore(Job job, JobProgress progress)
     {
         job.setState(progress.state());
@@ -156,6 +181,11 @@
         }
         job.setState(state);
         effects.changed(job);
+        stopAll(job, effects);
+    }
+
+    private static void stopAll(Job job, Effects effects)
+    {
         for (Task task : job.occupying())
         {
             if (task.phase() != Task.Phase.STOPPING)
@@ -174,7 +204,7 @@
     /** Drops a job of which nothing is left to do or to write: ends of its runs are then ignored. */
     void dropIfOver(Job job)
     {
-        if (job.state().isFinal() && job.occupying().isEmpty() && !job.isUnwritten())
+        if (job.isFinished() && !job.isUnwritten())
         {
             jobs.remove(job.id());
             retired.add(job.id());
