--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -16,7 +16,6 @@
 import org.gaugehollow.worker.HoldAnswer;
 import org.gaugehollow.worker.HoldAnswer.EndedRun;
 import org.gaugehollow.worker.HoldOrder;
-import org.gaugehollow.worker.OrderResult;
 import org.gaugehollow.worker.WorkerPort;
 
 /**
