--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceDeskTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceDeskTest.java
@@ -7,9 +7,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
@@ -18,6 +20,9 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.worker.Advice;
+import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 import org.junit.jupiter.api.Test;
 
 /** What an owner asks the advice service, and when it stops asking. */
@@ -59,4 +64,58 @@
         termIsOver.countDown();
         assertThat(TestJobs.within(RETRIES_MILLIS, () -> calls.get() > 1)).isFalse();
     }
+
+    private static WorkerEntry entryOf(long born)
+    {
+        return TestJobs.worker(new WorkerLife("w1", born), 16_000);
+    }
+
+    /**
+     * A worker that had started again under its id was never asked about again for a step, since the
+     * life before had been named unfit; where that one had been fit, starts brought its ticket and were
+     * refused: {@code E514 TASK_STARTED 2d7393dad46d4fd6.0.0.3 run 2 on i-7f1bfc929a: BAD_TICKET}.
+     */
+    @Test
+    void adviceOfOneLifeOfAWorkerSaysNothingOfTheNext() throws InterruptedException
+    {
+        List<List<String>> asked = new CopyOnWriteArrayList<>();
+        AtomicReference<List<Advice.Ticket>> tickets = new AtomicReference<>(List.of());
+        AdviceLines lines = new AdviceLines((step, workers, timeout) ->
+        {
+            asked.add(workers);
+            return new Advice(tickets.get(), 500);
+        }, events);
+        AtomicInteger answers = new AtomicInteger();
+        AdviceDesk desk = new AdviceDesk(ledger, lines, answers::incrementAndGet);
+        Step step;
+        WorkerSlot first;
+        synchronized (ledger)
+        {
+            first = ledger.list(entryOf(1));
+            first.setHeld(true);
+            JobSpec spec = new JobSpec("text", List.of(TestJobs.step(1, 1_000, List.of())), 0, 0, 0);
+            ledger.accept(new JobRecord(TestJobs.ID, TestJobs.ADVISED_QUEUE, spec, 0), 1, null, 0);
+            step = ledger.find(TestJobs.ID + ".0.0.0").step();
+            desk.request(step);
+        }
+        assertThat(TestJobs.within(2_000, () -> answers.get() == 1)).isTrue();
+        tickets.set(List.of(new Advice.Ticket("w1", "ticket")));
+        WorkerSlot second;
+        synchronized (ledger)
+        {
+            assertThat(desk.isBarred(step, first)).isTrue();
+            first.unlisted();
+            second = ledger.list(entryOf(2));
+            second.setHeld(true);
+            assertThat(desk.isBarred(step, second)).isFalse();
+            desk.request(step);
+        }
+        assertThat(TestJobs.within(2_000, () -> answers.get() == 2)).isTrue();
+        assertThat(asked).isEqualTo(List.of(List.of("w1"), List.of("w1")));
+        synchronized (ledger)
+        {
+            assertThat(desk.ticket(step, second)).hasValue("ticket");
+            assertThat(desk.ticket(step, first)).isEmpty();
+        }
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -21,6 +21,7 @@
 import org.gaugehollow.worker.Advice;
 import org.gaugehollow.worker.AdvicePort;
 import org.gaugehollow.worker.WorkerEntry;
+import org.gaugehollow.worker.WorkerLife;
 import org.gaugehollow.worker.WorkerPort;
 
 /** A platform in memory. */
@@ -31,6 +32,9 @@
     private static final byte UNUSABLE = 2;
     private static final int WHOLE_CPU = 16_000;
     private static final int CPU_PER_UNIT = 1_000;
+    private static final byte WHOLE_UNITS = WHOLE_CPU / CPU_PER_UNIT;
+    /** Where an entry tells when its life was born. */
+    private static final int BORN = 2;
 
     private final FakeStore store;
     private final Map<String, FakeWorker> workers = new ConcurrentHashMap<>();
@@ -61,6 +65,13 @@
         list(id);
     }
 
+    /** Lists a life of a worker in place of the one before; made before, it tells when it was born. */
+    void addLife(String id, byte born, FakeWorker worker) throws InterruptedException
+    {
+        workers.put(new WorkerLife(id, born).text(), worker);
+        store.commit(new StoreTransaction().put(WORKERS + id, new byte[]{USABLE, WHOLE_UNITS, born}));
+    }
+
     /** A box has accepted a job. */
     void accept(JobRecord job) throws InterruptedException
     {
@@ -133,7 +144,10 @@
         {
             throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER, "no worker");
         }
-        return TestJobs.worker(workerId(key), value.length > 1 ? value[1] * CPU_PER_UNIT : WHOLE_CPU);
+        String id = workerId(key);
+        long born = value.length > BORN ? value[BORN] : WorkerLife.NOT_TOLD;
+        return TestJobs.worker(new WorkerLife(id, born),
+                value.length > 1 ? value[1] * CPU_PER_UNIT : WHOLE_CPU);
     }
 
     @Override
@@ -145,7 +159,7 @@
     @Override
     public WorkerPort openWorker(WorkerEntry worker, BooleanSupplier mayOrder)
     {
-        return workers.get(worker.life().worker());
+        return workers.get(worker.life().text());
     }
 
     @Override
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -43,6 +43,7 @@
     private int looks;
     private boolean holdsStartAnswers;
     private boolean holdsStopAnswers;
+    private boolean holdsLookAnswers;
     private StartOrder lostStart;
     private boolean otherLife;
     private boolean silent;
@@ -88,6 +89,13 @@
         notifyAll();
     }
 
+    /** Whether looks are answered only once this is over, as they would have been before. */
+    synchronized void holdLookAnswers(boolean value)
+    {
+        holdsLookAnswers = value;
+        notifyAll();
+    }
+
     /** How many looks at it have begun. */
     synchronized int looks()
     {
@@ -332,6 +340,10 @@
         }
         List<RunningRun> rows = new ArrayList<>();
         running.forEach((task, run) -> rows.add(new RunningRun(task, run, "", 1, 0)));
+        while (holdsLookAnswers)
+        {
+            wait();
+        }
         return new HoldAnswer(OrderResult.DONE, clockMillis(), rows, List.copyOf(ends));
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -76,7 +76,12 @@
 
     static WorkerEntry worker(String id, int cpu)
     {
-        return new WorkerEntry(WorkerLife.only(id), "service", "127.0.0.1:1", "hall", false, -1,
+        return worker(WorkerLife.only(id), cpu);
+    }
+
+    static WorkerEntry worker(WorkerLife life, int cpu)
+    {
+        return new WorkerEntry(life, "service", "127.0.0.1:1", "hall", false, -1,
                 new Amounts(0, cpu, 32_768, 0), Set.of("a", "r1-1"), "r1-1");
     }
 
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerLivesTest.java
@@ -0,0 +1,74 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/** Which answer of one life of a worker proves that another is over. */
+@Execution(ExecutionMode.CONCURRENT)
+class WorkerLivesTest
+{
+    private static final String WORKER = "w1";
+    private static final String TASK = TestJobs.ID + ".0.0.0";
+    /** Shorter than the lease of a life that does not answer. */
+    private static final long SOON_MILLIS = 4_000;
+    /** Longer than it takes to read the list of workers twice. */
+    private static final long READ_MILLIS = 1_800;
+
+    private final FakePlatform platform = new FakePlatform();
+    private final FakeWorker first = new FakeWorker();
+    private final FakeWorker second = new FakeWorker();
+    private TestTerm term;
+
+    @AfterEach
+    void stop()
+    {
+        term.close();
+    }
+
+    private void accept() throws InterruptedException
+    {
+        platform.accept(TestJobs.job(TestJobs.ID, TestJobs.step(1, 1_000, List.of())));
+    }
+
+    /** The life before does not answer, so nothing else tells that its runs are over. */
+    @Test
+    void theFirstAnswerOfALifeEndsTheOneBefore() throws InterruptedException
+    {
+        platform.addLife(WORKER, (byte) 1, first);
+        term = new TestTerm(platform, "box");
+        accept();
+        assertThat(TestJobs.within(SOON_MILLIS, () -> first.isRunning(TASK))).isTrue();
+        first.setSilent(true);
+        platform.addLife(WORKER, (byte) 2, second);
+        assertThat(TestJobs.within(SOON_MILLIS, () -> second.isRunning(TASK))).isTrue();
+        assertThat(second.begun()).containsExactly(TASK + "/2");
+    }
+
+    /** The answer was on its way while the worker ended, started again and was listed. */
+    @Test
+    void aLateAnswerOfALifeEndsNoLaterOne() throws InterruptedException
+    {
+        first.holdLookAnswers(true);
+        platform.addLife(WORKER, (byte) 1, first);
+        term = new TestTerm(platform, "box");
+        assertThat(TestJobs.within(SOON_MILLIS, () -> first.looks() == 1)).isTrue();
+        platform.addLife(WORKER, (byte) 2, second);
+        accept();
+        assertThat(TestJobs.within(SOON_MILLIS, () -> second.isRunning(TASK))).isTrue();
+        first.holdLookAnswers(false);
+        assertThat(TestJobs.within(SOON_MILLIS, () -> first.looks() > 1)).isTrue();
+        Thread.sleep(READ_MILLIS);
+        assertThat(second.isClosed()).isFalse();
+        assertThat(second.begun()).containsExactly(TASK + "/1");
+    }
+}
