The next life of a worker bars starts that got no answer

What callers saw: nothing yet; found by reading. A task could run twice: a start that got no answer may be carried out seconds later, and the next life of the worker has the same id and accepts the same fencing token. Change: starts without an answer are kept for 15 s, and the first look that a life answers is followed by stops of those that were sent to earlier lives. Why it holds: a run that was stopped before it came is rejected, and so are those below it; starts of earlier owners are barred by the newer token of the look.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -60,7 +61,7 @@
             if (answer.result() == OrderResult.UNKNOWN)
             {
                 mayCome = true;
-                term.events().record(EventType.ORDER_UNANSWERED, order.task(), "start on " + slot.id());
+                noteUnanswered(order);
             }
             else if (answer.result() != OrderResult.NOT_SENT)
             {
@@ -71,6 +72,28 @@
         stopInstead(start);
     }
 
+    private void noteUnanswered(StartOrder order)
+    {
+        synchronized (term.ledger())
+        {
+            term.ledger().slots().unansweredStarts().add(slot, order.task(), order.run(),
+                    SteadyClock.nanos());
+        }
+        term.events().record(EventType.ORDER_UNANSWERED, order.task(), "start on " + slot.id());
+    }
+
+    /** Stops that let the life carry out no start that was sent to an earlier life of its worker. */
+    void barStartsForEarlierLives()
+    {
+        Map<String, Integer> runs;
+        synchronized (term.ledger())
+        {
+            runs = term.ledger().slots().unansweredStarts().forEarlierLives(slot, SteadyClock.nanos());
+        }
+        runs.forEach((task, run) -> OwnerTerm.inBackground(task,
+                () -> stop(new Effects.Stop(slot, task, run, null))));
+    }
+
     /** The order for a start; null if it is no longer wanted or may not be sent. */
     private StartOrder startOrder(Planner.Start start)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -164,6 +164,7 @@
         {
             answered = true;
             term.endOtherLives(slot, sentNanos);
+            orders.barStartsForEarlierLives();
         }
         boolean isBack = !reachable;
         noteReach(true, () -> "a look ended as " + answer.result() + "; " + account(answer));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
@@ -24,6 +24,7 @@
     /** Workers whose leases are left to lapse; a worker that is listed anew stays among them. */
     private final Set<String> lapsing = new HashSet<>();
     private final Map<String, Long> recordedLeaseEnds = new HashMap<>();
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts();
 
     /**
      * @param nanoTime a monotonic clock
@@ -67,6 +68,12 @@
                 .toList();
     }
 
+    /** The starts that got no answer. */
+    UnansweredStarts unansweredStarts()
+    {
+        return unansweredStarts;
+    }
+
     /** Takes a worker's newest entry; returns the slot of the life that wrote it. */
     WorkerSlot list(WorkerEntry entry)
     {
