--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -281,8 +281,8 @@
     {
         for (Effects.Stop stop : effects.stops())
         {
-            roster.session(stop.slot().id())
-                    .ifPresent(session -> inBackground(stop.taskName(), () -> session.orders().stop(stop)));
+            roster.session(stop.slot().id()).ifPresent(
+                    session -> inBackground(stop.taskName(), () -> session.orders().stops().send(stop)));
         }
         synchronized (ledger)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerOrders.java
@@ -4,11 +4,7 @@
  */
 package org.gaugehollow.schedule;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.time.SteadyClock;
@@ -18,26 +14,31 @@
 import org.gaugehollow.worker.WorkerPort;
 
 /**
- * The owner's orders to one life of a worker. Each is sent until it is known what became of it; a
- * start of which that cannot be known is stopped.
+ * The owner's starts and changes of pace on one life of a worker. Each start is sent until it is
+ * known what became of it; one of which that cannot be known is stopped.
  */
 final class WorkerOrders
 {
     private static final int ORDER_MILLIS = 350;
-    private static final int RETRY_MILLIS = 150;
     private static final int START_TRIES = 3;
-    private static final int STOP_TRIES_UNKNOWN = 3;
 
     private final OwnerTerm term;
     private final WorkerSlot slot;
     private final WorkerPort port;
-    private final Set<String> activeStops = ConcurrentHashMap.newKeySet();
+    private final StopOrders stops;
 
     WorkerOrders(OwnerTerm term, WorkerSlot slot, WorkerPort port)
     {
         this.term = term;
         this.slot = slot;
         this.port = port;
+        this.stops = new StopOrders(term, slot, port);
+    }
+
+    /** The stops of runs on the worker. */
+    StopOrders stops()
+    {
+        return stops;
     }
 
     /** Sends a start until its outcome is known. */
@@ -82,18 +83,6 @@
         term.events().record(EventType.ORDER_UNANSWERED, order.task(), "start on " + slot.id());
     }
 
-    /** Stops that let the life carry out no start that was sent to an earlier life of its worker. */
-    void barStartsForEarlierLives()
-    {
-        Map<String, Integer> runs;
-        synchronized (term.ledger())
-        {
-            runs = term.ledger().slots().unansweredStarts().forEarlierLives(slot, SteadyClock.nanos());
-        }
-        runs.forEach((task, run) -> OwnerTerm.inBackground(task,
-                () -> stop(new Effects.Stop(slot, task, run, null))));
-    }
-
     /** The order for a start; null if it is no longer wanted or may not be sent. */
     private StartOrder startOrder(Planner.Start start)
     {
@@ -278,101 +267,8 @@
         }
         for (Effects.Stop stop : effects.stops())
         {
-            stop(stop);
-        }
-    }
-
-    /** Sends a stop until the worker has taken it or the run is known to be over. */
-    void stop(Effects.Stop stop) throws InterruptedException
-    {
-        if (!activeStops.add(stop.taskName()))
-        {
-            return;
-        }
-        try
-        {
-            if (stop.task() == null)
-            {
-                stopUnknown(stop);
-            }
-            else
-            {
-                stopKnown(stop);
-            }
-        }
-        finally
-        {
-            activeStops.remove(stop.taskName());
-        }
-    }
-
-    private void stopKnown(Effects.Stop stop) throws InterruptedException
-    {
-        while (isWanted(stop) && term.lease().mayOrder())
-        {
-            OrderAnswer answer = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS);
-            if (answer.result().isSettled())
-            {
-                settleStop(stop, answer);
-                return;
-            }
-            Thread.sleep(RETRY_MILLIS);
-        }
-    }
-
-    private boolean isWanted(Effects.Stop stop)
-    {
-        synchronized (term.ledger())
-        {
-            return stop.task().isAt(slot, stop.run()) && stop.task().phase() == Task.Phase.STOPPING;
-        }
-    }
-
-    private void settleStop(Effects.Stop stop, OrderAnswer answer)
-    {
-        if (answer.result() == OrderResult.FENCED)
-        {
-            term.fencedBy(slot);
-        }
-        else if (answer.result() == OrderResult.OTHER_LIFE)
-        {
-            term.otherLife(slot);
-        }
-        else
-        {
-            synchronized (term.ledger())
-            {
-                stop.task().settleStop(slot, stop.run(), SteadyClock.nanos());
-            }
-        }
-    }
-
-    private void stopUnknown(Effects.Stop stop) throws InterruptedException
-    {
-        OrderResult result = OrderResult.UNKNOWN;
-        for (int i = 0; i < STOP_TRIES_UNKNOWN && result == OrderResult.UNKNOWN; i++)
-        {
-            result = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS).result();
-        }
-    }
-
-    /** Stops that no one is sending, such as those decided before this session began, are sent now. */
-    void sendOpenStops()
-    {
-        List<Effects.Stop> open = new ArrayList<>();
-        synchronized (term.ledger())
-        {
-            for (Task task : slot.tasks())
-            {
-                boolean unanswered = task.phase() == Task.Phase.STOPPING
-                        && task.settledNanos() == Task.UNSETTLED;
-                if (unanswered && !activeStops.contains(task.name()))
-                {
-                    open.add(new Effects.Stop(slot, task.name(), task.run(), task));
-                }
-            }
+            stops.send(stop);
         }
-        open.forEach(stop -> OwnerTerm.inBackground(stop.taskName(), () -> stop(stop)));
     }
 
     /** Lets tasks that fill the room of others work less or more. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRoster.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRoster.java
@@ -34,7 +34,7 @@
     private final Supervisor supervisor;
     private final Supplier<CellConfig> config;
     private final Map<String, WorkerSession> sessions = new ConcurrentHashMap<>();
-    /** By key, what was read last; listings come more often than entries change. */
+    /** By worker, what was read last; listings come more often than entries change. */
     private final Map<String, Reading> readings = new ConcurrentHashMap<>();
     private int refusals;
 
@@ -72,7 +72,8 @@
     @Override
     public void put(String key, byte[] value, long revision)
     {
-        if (isReadAlready(key, revision))
+        String worker = platform.workerId(key);
+        if (isReadAlready(worker, revision))
         {
             return;
         }
@@ -82,16 +83,16 @@
             if (list(entry))
             {
                 String life = entry.life().text();
-                Reading before = readings.put(key, new Reading(revision, life, false));
+                Reading before = readings.put(worker, new Reading(revision, life, false));
                 unlistIfReplaced(before, life);
             }
         }
         catch (GaugehollowException e)
         {
-            Reading before = readings.get(key);
+            Reading before = readings.get(worker);
             String life = before == null ? null : before.life();
-            readings.put(key, new Reading(revision, life, true));
-            refuse(platform.workerId(key), life, e.getMessage());
+            readings.put(worker, new Reading(revision, life, true));
+            refuse(worker, life, e.getMessage());
         }
     }
 
@@ -104,9 +105,9 @@
     }
 
     /** A session may have ended since its worker's entry was read. */
-    private boolean isReadAlready(String key, long revision)
+    private boolean isReadAlready(String worker, long revision)
     {
-        Reading reading = readings.get(key);
+        Reading reading = readings.get(worker);
         return reading != null && reading.revision() == revision
                 && (reading.refused() || sessions.containsKey(reading.life()));
     }
@@ -158,7 +159,7 @@
     @Override
     public void removed(String key, long revision)
     {
-        Reading reading = readings.remove(key);
+        Reading reading = readings.remove(platform.workerId(key));
         if (reading != null && reading.life() != null)
         {
             unlist(reading.life());
@@ -191,7 +192,7 @@
      */
     void over(WorkerSlot slot)
     {
-        Reading reading = readings.get(platform.workerPrefix() + slot.worker());
+        Reading reading = readings.get(slot.worker());
         boolean isListed = reading != null && slot.id().equals(reading.life());
         if (!isListed)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -164,7 +164,7 @@
         {
             answered = true;
             term.endOtherLives(slot, sentNanos);
-            orders.barStartsForEarlierLives();
+            orders.stops().barStartsForEarlierLives();
         }
         boolean isBack = !reachable;
         noteReach(true, () -> "a look ended as " + answer.result() + "; " + account(answer));
@@ -185,7 +185,7 @@
         }
         term.logEnds(slot, answer, recordingUpTo);
         orders.adjustPaces();
-        orders.sendOpenStops();
+        orders.stops().sendOpen();
         CompletableFuture<Void> written = new CompletableFuture<>();
         term.apply(effects, () -> written.complete(null));
         recording = CompletableFuture.allOf(recording, written);
