Known red: good tasks are given up where machines crash in waves

Cause: not mended yet. With the lives of workers told apart, each restart counts as a crash under the runs that were there, also where a third of the workers crash together.

--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardLoadTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardLoadTest.java
@@ -8,6 +8,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.SplittableRandom;
 
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.StepSpec;
@@ -22,6 +23,12 @@
 {
     private static final int MACHINES = 8;
     private static final int GOOD = 30;
+    private static final int WAVE_SEEDS = 10;
+    private static final int WAVE_MACHINES = 33;
+    private static final int WAVE_LASTING = 60;
+    private static final int WAVES = 6;
+    private static final long WAVE_GAP_MILLIS = 12_000;
+    private static final long WAVE_JOB_MILLIS = 100;
     private static final long LONG_ENOUGH_MILLIS = 40_000;
     private static final StepSpec SMALL = TestJobs.step(1, 2_500, List.of());
     private static final StepSpec LASTING = TestJobs.longRunning(1);
@@ -153,4 +160,36 @@
         cell.run(LONG_ENOUGH_MILLIS);
         assertOutcome(1, 3 + MACHINES, 30_000, 20_000);
     }
+
+    /**
+     * A third of the machines crash together, again and again, and nothing in their work is to blame.
+     */
+    @Test
+    void machinesThatCrashInWaves()
+    {
+        long givenUp = 0;
+        for (int seed = 0; seed < WAVE_SEEDS; seed++)
+        {
+            givenUp += playWaves(new SplittableRandom(seed));
+        }
+        assertWithMessage("good tasks given up in " + WAVE_SEEDS + " plays").that(givenUp).isEqualTo(0);
+    }
+
+    private long playWaves(SplittableRandom random)
+    {
+        cell = new SimulatedCell(WAVE_MACHINES, false);
+        acceptGood(WAVE_LASTING, LASTING);
+        for (int wave = 0; wave < WAVES; wave++)
+        {
+            for (int i = 0; i < WAVE_GAP_MILLIS / WAVE_JOB_MILLIS; i++)
+            {
+                acceptGood(1, SMALL);
+                cell.run(WAVE_JOB_MILLIS);
+            }
+            random.ints(0, WAVE_MACHINES).distinct().limit(WAVE_MACHINES / 3)
+                    .forEach(machine -> cell.crash(machine, 1));
+        }
+        cell.run(LONG_ENOUGH_MILLIS);
+        return cell.goodGivenUp();
+    }
 }
