--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -227,4 +227,46 @@
         assertThat(other.crashes().count(Evidence.EXPLAINED)).isEqualTo(1);
         assertThat(other.isSuspect()).isFalse();
     }
+
+    private void startBy(Task task, WorkerSlot slot, boolean isAnswered)
+    {
+        task.order(slot, task.run() + 1, clock.get());
+        task.sent();
+        if (isAnswered)
+        {
+            task.startAnswered(clock.get());
+        }
+    }
+
+    /**
+     * A good task was placed beside a harmful one three times and its starts got no answer, since the
+     * worker had crashed before they came. Both were to be given up at the same moment, the good one
+     * first, with four crashes that were not proven, and its job was shown as failed.
+     *
+     * <pre>
+     * 54691 E525 TASK_GIVEN_UP 2e.0.0.1 crashed [w1 UNPROVEN, w3-3 UNPROVEN, w3-3 UNPROVEN, w2-3 UNPROVEN]
+     * 54692 E525 TASK_GIVEN_UP 2f.0.0.0 crashed [w3-3 AT_START, w3-3 AT_START, w2-3 AT_START]
+     * </pre>
+     */
+    @Test
+    void theTaskThatSurelyDidItIsGivenUpBeforeItsNeighboursAreJudged()
+    {
+        Task harmful = accept();
+        ledger.accept(TestJobs.job("00000000000000bb", TestJobs.step(1, 1_000, List.of())), 1, null, 0);
+        Task neighbour = ledger.find("00000000000000bb.0.0.0");
+        WorkerSlot first = list();
+        startBy(neighbour, first, false);
+        end(first, WorkerEnd.CRASHED);
+        for (int i = 0; i < CrashGuard.MOST_CRASHES; i++)
+        {
+            WorkerSlot slot = list();
+            startBy(neighbour, slot, false);
+            startBy(harmful, slot, true);
+            end(slot, WorkerEnd.CRASHED);
+        }
+        ledger.giveUpHarmful();
+        assertThat(harmful.step().job().state()).isEqualTo(JobState.FAILED);
+        assertThat(neighbour.step().job().state()).isNotEqualTo(JobState.FAILED);
+        assertThat(neighbour.crashes().crashes()).hasSize(1);
+    }
 }
