The task that surely crashed its workers is given up before its neighbours are judged

What callers saw: nothing yet; found by the soak. A good job was shown as failed beside the harmful one, whose runs it had shared workers with. Cause: all tasks that a crash ended were judged before any of them was given up, so the crashes that the harmful one explains still counted for the others. Change: a crash gives up the tasks with proof alone; those with a number of unproven crashes are judged after that, those with most proof first, each anew. Why it holds: giving a task up takes its crashes out of the histories of others, and whoever is judged later is judged without them. Measured: the test of the traced case failed before and passes, as do all of CrashGuardTest, CrashGuardLoadTest, HarmfulTaskTest and LedgerTest.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.schedule;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -94,14 +95,17 @@
     /**
      * A worker's runs are over; comes before its tasks are released.
      *
-     * @return the tasks that are to be given up for it
+     * @return the tasks that surely crash their workers; the others are judged once these are given up
      */
     List<Task> ended(WorkerSlot slot, WorkerEnd end, Effects effects)
     {
         return switch (end)
         {
             case CRASHED -> crashed(slot, effects);
-            case LAPSED -> lapsed(slot);
+            case LAPSED -> {
+                lapsed(slot);
+                yield List.of();
+            }
             case LEFT -> {
                 answered(slot);
                 yield List.of();
@@ -134,7 +138,7 @@
                 note(run.task(), slot, run.evidence());
             }
             boolean isAlone = run.hadJustBegun() && justBegun == 1;
-            if (isGuilty(run.task()) || isAlone && isRepeated(run.task()))
+            if (isProven(run.task()) || isAlone && isRepeated(run.task()))
             {
                 guilty.add(run.task());
             }
@@ -142,11 +146,10 @@
         return guilty;
     }
 
-    private List<Task> lapsed(WorkerSlot slot)
+    private void lapsed(WorkerSlot slot)
     {
         runsOn(slot).stream().filter(SilentRun::hadJustBegun)
                 .forEach(run -> note(run.task(), slot, Evidence.UNPROVEN));
-        return slot.tasks().stream().filter(this::isGuilty).toList();
     }
 
     /** The runs that may have begun on a worker and were not left there. */
@@ -177,12 +180,21 @@
     }
 
     /** Whether enough workers have crashed under a task, whatever else had begun there. */
-    private boolean isGuilty(Task task)
+    private static boolean isProven(Task task)
+    {
+        return provenCrashes(task) >= MOST_CRASHES;
+    }
+
+    private static int provenCrashes(Task task)
+    {
+        return task.crashes().count(Evidence.AT_START) + task.crashes().count(Evidence.LATER);
+    }
+
+    /** Whether so many workers have crashed, or may have, that their number is enough. */
+    boolean isGuilty(Task task)
     {
-        CrashHistory history = task.crashes();
-        int proven = history.count(Evidence.AT_START) + history.count(Evidence.LATER);
-        return proven >= MOST_CRASHES
-                || history.crashes().stream().filter(this::counts).count() >= MOST_IN_ALL;
+        return isProven(task)
+                || task.crashes().crashes().stream().filter(this::counts).count() >= MOST_IN_ALL;
     }
 
     /** A worker that fell silent counts unless it is listed: then it may be cut off and live. */
@@ -208,8 +220,8 @@
     /**
      * Clears tasks that have outlived all suspicion.
      *
-     * @return the waiting tasks that are to be given up, because a worker that fell silent under them
-     *         is no longer listed
+     * @return the waiting tasks that are to be given up, those with most proof first; giving one up may
+     *         clear others
      */
     List<Task> check()
     {
@@ -231,6 +243,7 @@
                 guilty.add(task);
             }
         }
+        guilty.sort(Comparator.comparingInt(CrashGuard::provenCrashes).reversed());
         return guilty;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -237,6 +237,7 @@
             releaseLost(task, effects);
         }
         guilty.forEach(task -> giveUp(task, effects));
+        giveUpHarmful(effects);
         return effects;
     }
 
@@ -244,10 +245,22 @@
     Effects giveUpHarmful()
     {
         Effects effects = new Effects();
-        crashGuard.check().forEach(task -> giveUp(task, effects));
+        giveUpHarmful(effects);
         return effects;
     }
 
+    /** One task that is given up explains crashes of others, which may clear them. */
+    private void giveUpHarmful(Effects effects)
+    {
+        for (Task task : crashGuard.check())
+        {
+            if (crashGuard.isGuilty(task))
+            {
+                giveUp(task, effects);
+            }
+        }
+    }
+
     private void giveUp(Task task, Effects effects)
     {
         if (!task.step().job().state().isFinal())
