--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -40,6 +40,7 @@
     private int startsToLose;
     private int startsAsked;
     private int stopsToLose;
+    private int stopsToTurnAway;
     private int looks;
     private boolean holdsStartAnswers;
     private boolean holdsStopAnswers;
@@ -75,6 +76,12 @@
         stopsToLose = count;
     }
 
+    /** The next stops are turned away and not carried out. */
+    synchronized void turnAwayStops(int count)
+    {
+        stopsToTurnAway = count;
+    }
+
     /** Whether starts are carried out at once but answered only once this is over. */
     synchronized void holdStartAnswers(boolean value)
     {
@@ -302,6 +309,11 @@
         {
             return new OrderAnswer(OrderResult.UNHEALTHY, clockMillis());
         }
+        if (stopsToTurnAway > 0)
+        {
+            stopsToTurnAway--;
+            return new OrderAnswer(OrderResult.UNHEALTHY, clockMillis());
+        }
         if (stopsToLose > 0)
         {
             stopsToLose--;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerLivesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerLivesTest.java
@@ -78,7 +78,8 @@
 
     /**
      * A start had no answer and its worker started again; the task ended well elsewhere. Carried out by
-     * the next life, which has the same id and the same fencing token, it would run once more.
+     * the next life, which has the same id and the same fencing token, it would run once more. That
+     * life turns the first order away that bars the run.
      */
     @Test
     void aStartThatArrivesInTheNextLifeDoesNothing() throws InterruptedException
@@ -89,6 +90,7 @@
         accept();
         assertThat(TestJobs.within(SOON_MILLIS, () -> first.lostStart() != null)).isTrue();
         first.endLife();
+        second.turnAwayStops(1);
         FakeWorker other = platform.addWorker("w2");
         platform.addLife(WORKER, (byte) 2, second, NO_ROOM);
         assertThat(TestJobs.within(SOON_MILLIS, () -> other.isRunning(TASK))).isTrue();
