A stop of an unknown run is sent again where the worker turned it away

What callers saw: nothing yet; by reading. Stops of runs that their tasks do not know were tried again only where they got no answer; one that was turned away or kept back was dropped, and a start that arrives in the next life of its worker would run. Why it holds: only an answer that the worker has taken or refused for good ends it.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/StopOrders.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/StopOrders.java
@@ -101,10 +101,14 @@
 
     private void stopUnknown(Effects.Stop stop) throws InterruptedException
     {
-        OrderResult result = OrderResult.UNKNOWN;
-        for (int i = 0; i < TRIES_UNKNOWN && result == OrderResult.UNKNOWN; i++)
+        for (int i = 0; i < TRIES_UNKNOWN; i++)
         {
-            result = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS).result();
+            OrderAnswer answer = port.stop(stop.taskName(), stop.run(), term.lease().fence(), ORDER_MILLIS);
+            if (answer.result().isSettled())
+            {
+                return;
+            }
+            Thread.sleep(RETRY_MILLIS);
         }
     }
 
