Known red: a record of an earlier version that names a worker by its id alone

Cause: not mended yet; found by reading. The first answer of a life ends all others of its worker, also one that was recorded without the moment of its start.

--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerLivesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerLivesTest.java
@@ -8,6 +8,11 @@
 
 import java.util.List;
 
+import org.gaugehollow.job.JobCodec;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.worker.OrderResult;
 import org.gaugehollow.worker.RunEnd;
 
@@ -100,4 +105,26 @@
         assertThat(second.arrive(first.lostStart())).isEqualTo(OrderResult.OLD_RUN);
         assertThat(second.begun()).isEmpty();
     }
+
+    /**
+     * An owner of an earlier version recorded workers by their ids alone. The run may go on in the life
+     * that is there now, so nothing else of the task begins before its lease is surely over.
+     */
+    @Test
+    void aRecordThatNamesNoLifeMayMeanTheOneThatAnswers() throws InterruptedException
+    {
+        JobProgress recorded = new JobProgress(TestJobs.QUEUE.name(), JobState.RUNNING,
+                List.of(new JobProgress.RoundProgress(List.of(new JobProgress.StepProgress(
+                        List.of(new JobProgress.TaskProgress(1, 0, false, WORKER, null)))))));
+        accept();
+        platform.store().commit(
+                new StoreTransaction().put(JobKeys.progress(TestJobs.ID), JobCodec.writeProgress(recorded)));
+        first.runs(TASK, 1);
+        platform.addLife(WORKER, (byte) 1, first);
+        FakeWorker other = platform.addWorker("w2");
+        term = new TestTerm(platform, "box");
+        assertThat(TestJobs.within(SOON_MILLIS, () -> first.stopped().contains(TASK))).isTrue();
+        assertThat(TestJobs.within(SOON_MILLIS, () -> other.isRunning(TASK) || first.isRunning(TASK)))
+                .isFalse();
+    }
 }
