A record that names a worker by its id alone may mean the life that is there

What callers saw: nothing yet; by reading. After a change of version a task could run twice: its run went on in the life that answered, as an unknown one that was being stopped, while the task began elsewhere. Cause: the first answer of a life ended all others of its worker, also one that an owner of an earlier version had recorded without the moment of its start. Change: only lives that are known by that moment are ended so. Why it holds: a record without it is waited for until its lease is surely over.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlot.java
@@ -25,7 +25,7 @@
     private static final long ANSWERS = Long.MAX_VALUE;
 
     private final String id;
-    private final String worker;
+    private final WorkerLife life;
     private final long knownNanos;
     private final Set<Task> tasks = new LinkedHashSet<>();
     private final List<SilentRun> leftRuns = new ArrayList<>();
@@ -60,7 +60,7 @@
     WorkerSlot(String id, long leaseEndNanos, long knownNanos)
     {
         this.id = id;
-        this.worker = WorkerLife.parse(id).worker();
+        this.life = WorkerLife.parse(id);
         this.leaseEndNanos = leaseEndNanos;
         this.knownNanos = knownNanos;
     }
@@ -329,7 +329,13 @@
     /** The id of the worker, which its next life may have as well. */
     String worker()
     {
-        return worker;
+        return life.worker();
+    }
+
+    /** Whether it is known when the life began. */
+    boolean tellsBirth()
+    {
+        return life.tellsBirth();
     }
 
     /** Since when this owner knows of the life. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSlots.java
@@ -61,10 +61,14 @@
         return slot;
     }
 
-    /** The other lives of a worker, of which at most one goes on. */
+    /**
+     * The lives of a worker that are surely not the given one: an owner of an earlier version recorded
+     * a worker by its id alone, and may have meant that one.
+     */
     List<WorkerSlot> otherLives(WorkerSlot one)
     {
-        return slots.values().stream().filter(slot -> slot != one && slot.worker().equals(one.worker()))
+        return slots.values().stream()
+                .filter(slot -> slot != one && slot.tellsBirth() && slot.worker().equals(one.worker()))
                 .toList();
     }
 
