--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Ledger.java
@@ -18,8 +18,6 @@
 import org.gaugehollow.job.Cancellation;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobProgress;
-import org.gaugehollow.job.JobProgress.RoundProgress;
-import org.gaugehollow.job.JobProgress.TaskProgress;
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.worker.HoldAnswer;
@@ -43,6 +41,7 @@
     private final WorkerSlots workers;
     private final CrashGuard crashGuard;
     private final RunEnds runEnds;
+    private final JobRestoration restoration;
     private final WeightRates rates = new WeightRates();
     /** Accepted since jobs had their turns last, not rated yet. */
     private final List<Job> fresh = new ArrayList<>();
@@ -60,6 +59,7 @@
         this.workers = new WorkerSlots(nanoTime, unknownLeaseNanos);
         this.crashGuard = new CrashGuard(workers);
         this.runEnds = new RunEnds(this, nanoTime);
+        this.restoration = new JobRestoration(workers, crashGuard, nanoTime);
     }
 
     /** Whether a job was read, be it over or not. */
@@ -86,7 +86,7 @@
         job.beginDueRounds(wallMillis);
         if (progress != null)
         {
-            restore(job, progress);
+            restoration.restore(job, progress);
         }
         jobs.put(job.id(), job);
         fresh.add(job);
@@ -116,38 +116,12 @@
             return;
         }
         Job job = newJob(record, revision);
-        restore(job, progress);
+        restoration.restore(job, progress);
         jobs.put(job.id(), job);
         stopAll(job, effects);
         effects.changed(job);
     }
 
-    private void restore(Job job, JobProgress progress)
-    {
-        job.setState(progress.state());
-        for (int k = 0; k < progress.rounds().size(); k++)
-        {
-            RoundProgress round = progress.rounds().get(k);
-            List<Step> steps = job.round(k);
-            for (int s = 0; s < steps.size(); s++)
-            {
-                restoreStep(steps.get(s), round.steps().get(s).tasks());
-            }
-        }
-    }
-
-    private void restoreStep(Step step, List<TaskProgress> recorded)
-    {
-        for (int i = 0; i < recorded.size(); i++)
-        {
-            TaskProgress progress = recorded.get(i);
-            WorkerSlot slot = progress.worker() == null ? null : workers.get(progress.worker());
-            Task task = step.tasks().get(i);
-            task.restore(progress, slot, nanoTime.getAsLong());
-            crashGuard.restored(task);
-        }
-    }
-
     /** Cancels a job; the cancellation may be known before the job is. */
     Effects cancel(String id, Cancellation cancellation)
     {
