--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -117,8 +117,7 @@
      * What has just begun on a worker is blamed for its crash; what had been at work there for longer
      * only where nothing has. Else two of four tasks that last were given up for the crashes of others,
      * in a simulated cell of three workers with a harmful task each five seconds. Nor is it blamed
-     * where several workers crash together: 13 tasks that last were given up in ten plays of such
-     * waves.
+     * where several workers crash together.
      */
     private List<Task> crashed(WorkerSlot slot, Effects effects)
     {
