--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -65,7 +65,7 @@
         list(id);
     }
 
-    /** Lists a life of a worker in place of the one before; made before, it tells when it was born. */
+    /** Lists a life of a worker, which tells when it was born, in place of the one before. */
     void addLife(String id, byte born, FakeWorker worker) throws InterruptedException
     {
         addLife(id, born, worker, WHOLE_UNITS);
