--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/FaultProxy.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/FaultProxy.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 
@@ -28,6 +29,8 @@
     private final ServerSocket listener;
     private final InetSocketAddress target;
     private final Map<Socket, Socket> connections = new ConcurrentHashMap<>();
+    /** Client sides of the connections that carry no more data. */
+    private final Set<Socket> silenced = ConcurrentHashMap.newKeySet();
     private volatile Predicate<InetAddress> blockedSources = source -> false;
     private volatile FaultMode mode = FaultMode.PASS;
 
@@ -70,6 +73,15 @@
         });
     }
 
+    /**
+     * Silences the connections that are open now for as long as the proxy is open: they carry no more
+     * data and are not closed, whatever the two sides do. New connections work.
+     */
+    public void silenceConnections()
+    {
+        silenced.addAll(connections.keySet());
+    }
+
     /**
      * Changes how traffic is treated.
      *
@@ -141,6 +153,10 @@
             while (read >= 0)
             {
                 applyMode(fromTarget);
+                if (isSilenced(client))
+                {
+                    return;
+                }
                 output.write(buffer, 0, read);
                 read = input.read(buffer);
             }
@@ -153,7 +169,16 @@
         {
             Thread.currentThread().interrupt();
         }
-        closeBoth(client, server);
+        if (!isSilenced(client))
+        {
+            closeBoth(client, server);
+        }
+    }
+
+    /** Returns whether a connection is silenced, and thus neither forwards data nor is closed. */
+    private boolean isSilenced(Socket client)
+    {
+        return silenced.contains(client) && !listener.isClosed();
     }
 
     private void applyMode(boolean fromTarget) throws InterruptedException
