Log and measure why a due task does not run, and since when

An operator could not tell from the logs why a given task did not run: the owner logged failed advice calls and unanswered starts when they ended, but a call that never returned, a stop, a lease that had not ended, a guard or a placement that was not stored left no line.

The owner now compares the cell state with the latest planning round at most every 0.5 s. WaitClassifier determines the reason for each step with waiting tasks and each run that is not known to go on, WaitScan groups them by step and reason, WaitMonitor logs TASK_WAITING after 1 s, at a change and every 5 s, and TASK_UNBLOCKED at the end, with at most 20 lines a second. gaugehollow_waiting_tasks and gaugehollow_longest_wait_seconds show the same by reason. The advice cache counts failed requests and keeps the time of the first one since the last answer.

The log test failed before, 4 of 4: logged [] for advice that is never answered, for a start without a reply and for a placement that the store does not take; [TASK_STARTED run 1 on w1: DONE] for a run on a worker that stopped answering. The tests of schedule, box and event pass after.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -174,6 +174,11 @@
                 () -> election.isOwner() ? 1 : 0);
         metrics.gauge("gaugehollow_config_version", "Version of the configuration in force.",
                 () -> config.get().version());
+        metrics.gauge("gaugehollow_waiting_tasks",
+                "Tasks that are due and have not run for a second, by the reason for which they wait.",
+                "reason", () -> election.waits().tasksByLabel());
+        metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
+                () -> election.waits().longestSecondsByLabel());
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -7,7 +7,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -118,6 +120,21 @@
                 .callback(callback -> callback.call(value.getAsDouble())).register(registry);
     }
 
+    /**
+     * Adds a gauge with one label whose values are read on each scrape.
+     *
+     * @param name metric name
+     * @param help one-sentence description
+     * @param label name of the label
+     * @param values supplies the values by value of the label
+     */
+    public void gauge(String name, String help, String label, Supplier<Map<String, Double>> values)
+    {
+        GaugeWithCallback.builder().name(name).help(help).labelNames(label)
+                .callback(callback -> values.get().forEach((key, value) -> callback.call(value, key)))
+                .register(registry);
+    }
+
     /** @return all metrics in the Prometheus text format */
     public byte[] scrape()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -33,6 +33,26 @@
     {
     }
 
+    /**
+     * Requests for a step without an answer.
+     *
+     * @param failedRequests number of requests that failed since the last answer
+     * @param sinceNanos monotonic time of the first request after the last answer
+     * @param isPending whether a request waits for its answer
+     * @param requestedNanos monotonic time of the newest request
+     */
+    record UnansweredAdvice(int failedRequests, long sinceNanos, boolean isPending, long requestedNanos)
+    {
+        String describe(long nowNanos)
+        {
+            String pending = isPending
+                    ? ", one is pending for " + (nowNanos - requestedNanos) / NANOS_PER_MILLI + " ms"
+                    : "";
+            return "no advice since " + (nowNanos - sinceNanos) / NANOS_PER_MILLI + " ms, " + failedRequests
+                    + " requests failed" + pending;
+        }
+    }
+
     /** The advice for one step. */
     private static final class StepAdvice
     {
@@ -40,6 +60,11 @@
         private final Map<String, CachedTicket> allowed = new HashMap<>();
         private final Set<String> evaluatedIds = new HashSet<>();
         private boolean isRequestPending;
+        private long requestedNanos;
+        /** Number of failed requests since the last answer. */
+        private int failedRequests;
+        /** Time of the first request since the last answer. */
+        private long unansweredSinceNanos;
         private long retryNotBeforeNanos = Long.MIN_VALUE;
         /** Expiry of the newest tickets. */
         private long ticketsEndNanos = SteadyClock.nanos();
@@ -97,6 +122,17 @@
         return advice.ticketsEndNanos - SteadyClock.nanos() > (long) (callMillis * NANOS_PER_MILLI);
     }
 
+    /** Returns the requests for a step since the last answer, if there are any. */
+    Optional<UnansweredAdvice> unanswered(Step step)
+    {
+        StepAdvice advice = steps.get(step.name());
+        boolean isUnanswered = advice != null && (advice.isRequestPending || advice.failedRequests > 0);
+        return isUnanswered
+                ? Optional.of(new UnansweredAdvice(advice.failedRequests, advice.unansweredSinceNanos,
+                        advice.isRequestPending, advice.requestedNanos))
+                : Optional.empty();
+    }
+
     /** Discards a ticket that a worker rejected. The worker remains allowed. */
     void discardTicket(Step step, TrackedWorker worker)
     {
@@ -138,6 +174,11 @@
             return;
         }
         advice.isRequestPending = true;
+        advice.requestedNanos = SteadyClock.nanos();
+        if (advice.failedRequests == 0)
+        {
+            advice.unansweredSinceNanos = advice.requestedNanos;
+        }
         AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
         Thread.ofVirtual().name("advice-" + step.name())
                 .start(() -> requestAdvice(step, advice, workers, spec));
@@ -148,9 +189,7 @@
         List<TrackedWorker> workers = new ArrayList<>();
         for (TrackedWorker worker : cellState.workers())
         {
-            boolean hasService = worker.acceptsStarts()
-                    && worker.entry().service().equals(step.job().queue().service());
-            if (hasService && step.hasRequiredLabel(worker.entry()) && !isDenied(step, worker))
+            if (worker.acceptsStarts() && step.suits(worker.entry()) && !isDenied(step, worker))
             {
                 workers.add(worker);
             }
@@ -175,6 +214,8 @@
         }
         synchronized (cellState)
         {
+            boolean hasFailed = reply.isEmpty() && isWanted(step);
+            advice.failedRequests = hasFailed ? advice.failedRequests + 1 : 0;
             recordReply(advice, workers, reply, spec);
         }
         onReply.run();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -443,6 +443,12 @@
         return lease == null ? 0 : lease.unconfirmedMillis();
     }
 
+    /** @return the tasks that wait in the current term; none if this box is not the owner */
+    public WaitSnapshot waits()
+    {
+        return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -61,6 +61,8 @@
     private final AdviceCache adviceCache;
     private final Planner planner;
     private final QuotaMonitor quotaMonitor;
+    private final WaitScan waitScan;
+    private final WaitMonitor waitMonitor;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
@@ -84,6 +86,10 @@
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score);
         this.quotaMonitor = new QuotaMonitor(events);
+        long beginNanos = SteadyClock.nanos();
+        this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
+                beginNanos);
+        this.waitMonitor = new WaitMonitor(events, lease, beginNanos);
         this.evacuation = new Evacuation(cellState);
         this.stallGuard = new StallGuard(cellState);
         this.slowWorkerGuard = new SlowWorkerGuard(cellState);
@@ -138,7 +144,12 @@
                 wakeUps.drainPermits();
             }
             long startNanos = SteadyClock.nanos();
-            if (jobReader.isListingComplete() && lease.maySendCommands() && hasConfig())
+            Optional<WaitReason> block = findBlock();
+            if (block.isPresent())
+            {
+                reportBlocked(block);
+            }
+            else
             {
                 planOnce();
             }
@@ -147,10 +158,33 @@
         }
     }
 
-    /** Returns whether a configuration was read; quotas are unknown without one. */
-    private boolean hasConfig()
+    /** Returns why nothing may be planned, or empty if it may. */
+    private Optional<WaitReason> findBlock()
+    {
+        if (!jobReader.isListingComplete())
+        {
+            return Optional.of(WaitReason.JOBS_UNREAD);
+        }
+        if (!lease.maySendCommands())
+        {
+            return Optional.of(WaitReason.TERM_UNCONFIRMED);
+        }
+        // Quotas are unknown without a configuration.
+        return config.get().version() > 0 ? Optional.empty() : Optional.of(WaitReason.NO_CONFIGURATION);
+    }
+
+    private void reportBlocked(Optional<WaitReason> block)
     {
-        return config.get().version() > 0;
+        long nowNanos = SteadyClock.nanos();
+        if (waitMonitor.isDue(nowNanos))
+        {
+            List<WaitingGroup> waiting;
+            synchronized (cellState)
+            {
+                waiting = waitScan.scan(block, nowNanos);
+            }
+            waitMonitor.report(waiting, nowNanos);
+        }
     }
 
     private void planOnce()
@@ -162,6 +196,8 @@
         Effects poisoned;
         List<Effects> expired;
         List<UnresponsiveWorkerGuard.AbandonedRun> abandonedRuns;
+        Optional<List<WaitingGroup>> waiting = Optional.empty();
+        long scanNanos;
         synchronized (cellState)
         {
             evacuations = evacuation.evacuate(SteadyClock.nanos());
@@ -177,6 +213,11 @@
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
             plan = planner.plan(SteadyClock.nanos(), System.currentTimeMillis());
             plan.needAdvice().forEach(adviceCache::request);
+            scanNanos = SteadyClock.nanos();
+            if (waitMonitor.isDue(scanNanos))
+            {
+                waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
+            }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
@@ -191,6 +232,7 @@
         quotaMonitor.onPlan(plan.atQuota(), SteadyClock.nanos());
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
+        waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
     }
 
     /** Sends the starts of each job as soon as the record of that job is written. */
@@ -397,6 +439,12 @@
         wakeUps.release();
     }
 
+    /** Returns the tasks that wait, by reason. */
+    WaitSnapshot waits()
+    {
+        return waitMonitor.snapshot();
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -14,7 +14,6 @@
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
-import org.gaugehollow.worker.WorkerEntry;
 
 /**
  * Assigns waiting tasks to workers. Jobs are processed in the order of {@link JobOrder}; each task
@@ -158,13 +157,31 @@
         }
     }
 
+    /** Returns whether the customer's quota allows further starts of a step in the latest round. */
+    boolean allowsQuota(Step step)
+    {
+        return quotaUsage.allows(step, step.tasksToStartTogether());
+    }
+
+    /** Returns the compute resources that the customer of a step used in the latest round. */
+    ComputeResources quotaUsage(Step step)
+    {
+        return quotaUsage.usageOf(step.job().record().customer());
+    }
+
+    /** Returns whether a worker was reserved for the isolated run of a suspect in the latest round. */
+    boolean isIsolated(TrackedWorker worker)
+    {
+        return isolationWorkers.contains(worker);
+    }
+
     private boolean waitsForQuota(Step step, Plan plan)
     {
-        boolean waits = !quotaUsage.allows(step, step.tasksToStartTogether());
+        boolean waits = !allowsQuota(step);
         if (waits)
         {
             String customer = step.job().record().customer();
-            plan.atQuota().put(customer, quotaUsage.usageOf(customer));
+            plan.atQuota().put(customer, quotaUsage(step));
         }
         return waits;
     }
@@ -241,9 +258,7 @@
 
     private boolean isEligible(Step step, TrackedWorker worker)
     {
-        WorkerEntry entry = worker.entry();
-        boolean offersService = entry.service().equals(step.job().queue().service());
-        return offersService && step.hasRequiredLabel(entry) && !tickets.isDenied(step, worker);
+        return step.suits(worker.entry()) && !tickets.isDenied(step, worker);
     }
 
     private boolean hasCapacityOnAny(Step step, List<TrackedWorker> workers)
@@ -251,7 +266,8 @@
         return workers.stream().anyMatch(worker -> hasCapacity(step, worker, 1));
     }
 
-    private boolean hasCapacity(Step step, TrackedWorker worker, int tasks)
+    /** Returns whether a worker has capacity for tasks of a step that is not reserved for others. */
+    boolean hasCapacity(Step step, TrackedWorker worker, int tasks)
     {
         ComputeResources needs = step.needs().times(tasks);
         return step.canAddTo(worker, tasks)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -119,8 +119,16 @@
         }
     }
 
+    /**
+     * Returns whether a worker offers the service of the queue and the label that the step requires.
+     */
+    boolean suits(WorkerEntry entry)
+    {
+        return entry.service().equals(job.queue().service()) && hasRequiredLabel(entry);
+    }
+
     /** Returns whether a worker has the label that the step requires, if any. */
-    boolean hasRequiredLabel(WorkerEntry entry)
+    private boolean hasRequiredLabel(WorkerEntry entry)
     {
         String label = spec.requires();
         return label == null || label.isEmpty() || entry.labels().contains(label);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -426,6 +426,12 @@
         return observation.gauge();
     }
 
+    /** Returns the index of the task in its step. */
+    int index()
+    {
+        return index;
+    }
+
     String name()
     {
         return step.name() + '.' + index;
--- a/gaugehollow/src/test/java/org/gaugehollow/CatalogueTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/CatalogueTest.java
@@ -14,6 +14,7 @@
 
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.schedule.WaitReason;
 import org.junit.jupiter.api.Test;
 
 /** Checks that the tables in the docs match the code. */
@@ -42,6 +43,16 @@
         assertThat(rows("EVENTS.md")).containsExactlyElementsIn(expected).inOrder();
     }
 
+    @Test
+    void operationsPageListsAllWaitReasons() throws IOException
+    {
+        List<String> expected = Arrays.stream(WaitReason.values()).map(WaitReason::label).toList();
+        List<String> listed = Files.readAllLines(DOCS.resolve("OPERATIONS.md")).stream()
+                .filter(line -> line.matches("\\| `[a-z_]+` \\| .*")).map(line -> line.split("`")[1])
+                .filter(name -> !name.startsWith("gaugehollow_")).toList();
+        assertThat(listed).containsExactlyElementsIn(expected);
+    }
+
     /** Returns the table rows that begin with a number. */
     private static List<String> rows(String page) throws IOException
     {
