OwnerWarmup: run the scan of waiting tasks

The first scans of a new owner hold the lock of the cell state while their classes are loaded. The warm-up now runs them, so WaitClassifier takes Planner.Tickets instead of the advice cache.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -33,26 +33,6 @@
     {
     }
 
-    /**
-     * Requests for a step without an answer.
-     *
-     * @param failedRequests number of requests that failed since the last answer
-     * @param sinceNanos monotonic time of the first request after the last answer
-     * @param isPending whether a request waits for its answer
-     * @param requestedNanos monotonic time of the newest request
-     */
-    record UnansweredAdvice(int failedRequests, long sinceNanos, boolean isPending, long requestedNanos)
-    {
-        String describe(long nowNanos)
-        {
-            String pending = isPending
-                    ? ", one is pending for " + (nowNanos - requestedNanos) / NANOS_PER_MILLI + " ms"
-                    : "";
-            return "no advice since " + (nowNanos - sinceNanos) / NANOS_PER_MILLI + " ms, " + failedRequests
-                    + " requests failed" + pending;
-        }
-    }
-
     /** The advice for one step. */
     private static final class StepAdvice
     {
@@ -122,8 +102,8 @@
         return advice.ticketsEndNanos - SteadyClock.nanos() > (long) (callMillis * NANOS_PER_MILLI);
     }
 
-    /** Returns the requests for a step since the last answer, if there are any. */
-    Optional<UnansweredAdvice> unanswered(Step step)
+    @Override
+    public Optional<UnansweredAdvice> unanswered(Step step)
     {
         StepAdvice advice = steps.get(step.name());
         boolean isUnanswered = advice != null && (advice.isRequestPending || advice.failedRequests > 0);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -104,12 +105,15 @@
         private final UnresponsiveWorkerGuard unresponsiveWorkerGuard = new UnresponsiveWorkerGuard(
                 cellState);
         private final List<TrackedWorker> workers = new ArrayList<>();
+        private final WaitScan waitScan;
         private final long[] lastEndNumbers = new long[WORKERS];
         private int completed;
 
         Round(WorkerScore score)
         {
             this.planner = new Planner(cellState, new NoTickets(), score);
+            this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, new NoTickets()),
+                    new OwnerLease("", 0, 0, OwnerLease.UNKNOWN_FENCE), SteadyClock.nanos());
         }
 
         int run()
@@ -123,6 +127,8 @@
             acceptJobs(PATIENT, 0);
             plan();
             acceptJobs(URGENT, JOBS);
+            plan();
+            scanWaits();
             for (int i = 0; i < MAX_PLANS && completed < 2 * JOBS; i++)
             {
                 plan();
@@ -172,6 +178,14 @@
             }
         }
 
+        /** Determines the reasons of the waits as they would be after the minimum wait. */
+        private void scanWaits()
+        {
+            long nowNanos = SteadyClock.nanos();
+            waitScan.scan(Optional.empty(), nowNanos);
+            waitScan.scan(Optional.empty(), nowNanos + WaitScan.MIN_WAIT_NANOS);
+        }
+
         private void heartbeat()
         {
             for (int i = 0; i < WORKERS; i++)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -74,6 +74,12 @@
 
         /** Returns whether the step's tickets remain valid for longer than a refresh takes. */
         boolean isFresh(Step step);
+
+        /** Returns the requests for the step since the last answer, if there are any. */
+        default Optional<UnansweredAdvice> unanswered(Step step)
+        {
+            return Optional.empty();
+        }
     }
 
     private final CellState cellState;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
@@ -65,13 +65,13 @@
 
     private final CellState cellState;
     private final Planner planner;
-    private final AdviceCache adviceCache;
+    private final Planner.Tickets tickets;
 
-    WaitClassifier(CellState cellState, Planner planner, AdviceCache adviceCache)
+    WaitClassifier(CellState cellState, Planner planner, Planner.Tickets tickets)
     {
         this.cellState = cellState;
         this.planner = planner;
-        this.adviceCache = adviceCache;
+        this.tickets = tickets;
     }
 
     /** Returns why the waiting tasks of a step were not started by the latest planning round. */
@@ -88,7 +88,7 @@
                     step.tasks().stream().filter(Task::isOnWorker).count() + " members are on workers");
         }
         Obstacles obstacles = findObstacles(step, nowNanos);
-        String advice = adviceCache.unanswered(step).map(unanswered -> "; " + unanswered.describe(nowNanos))
+        String advice = tickets.unanswered(step).map(unanswered -> "; " + unanswered.describe(nowNanos))
                 .orElse("");
         return new Cause(reasonOf(step, obstacles),
                 "a task needs " + step.needs() + "; " + obstacles + advice);
@@ -119,7 +119,7 @@
     private WaitReason reasonDespiteCapacity(Step step, Obstacles obstacles)
     {
         boolean needsTickets = step.job().queue().adviceIfNeeded().isPresent();
-        boolean isUnanswered = adviceCache.unanswered(step).isPresent();
+        boolean isUnanswered = tickets.unanswered(step).isPresent();
         boolean isGang = step.spec().gang();
         if (needsTickets && (obstacles.usableWithTicket == 0 || isGang && isUnanswered))
         {
@@ -153,7 +153,7 @@
         }
         if (obstacle.isEmpty())
         {
-            obstacles.usableWithTicket += adviceCache.ticket(step, worker).isPresent() ? 1 : 0;
+            obstacles.usableWithTicket += tickets.ticket(step, worker).isPresent() ? 1 : 0;
             obstacle = isAvoided ? Optional.of(WaitReason.WORKERS_AVOIDED) : obstacle;
         }
         obstacle.ifPresentOrElse(reason -> obstacles.counts.merge(reason, 1, Integer::sum),
@@ -163,7 +163,7 @@
     /** Returns why a suitable worker may not run the step, regardless of its free capacity. */
     private Optional<WaitReason> exclusionOf(Step step, TrackedWorker worker)
     {
-        if (adviceCache.isDenied(step, worker))
+        if (tickets.isDenied(step, worker))
         {
             return Optional.of(WaitReason.ADVICE_DENIED);
         }
