Advice: end the request also after an unexpected exception

What callers saw: a step of a queue with advice that never asks again, so that its tasks wait for a ticket with room for them. Cause: only an answer, a known failure or an interrupt cleared the flag of the pending request. Any other exception of a call ended its thread and left the flag set for the rest of the term. Change: the request ends in a finally block. The exception still reaches the thread's handler. Test: AdviceCacheTest.requestIsRepeatedAfterAnUnexpectedFailure, before: "expected to be true" (one call in 1.5 s); passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -173,6 +173,16 @@
         {
             Thread.currentThread().interrupt();
         }
+        finally
+        {
+            // also after an unexpected exception, or the step could never request advice again
+            endRequest(advice, workers, reply, spec);
+        }
+    }
+
+    private void endRequest(StepAdvice advice, List<TrackedWorker> workers, Optional<Advice> reply,
+            AdviceSpec spec)
+    {
         synchronized (cellState)
         {
             recordReply(advice, workers, reply, spec);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceCacheTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceCacheTest.java
@@ -61,6 +61,40 @@
         assertThat(TestJobs.waitUntil(RETRY_PERIOD_MILLIS, () -> calls.get() > 1)).isFalse();
     }
 
+    /** Guards against a step that waits for advice forever after a call failed unexpectedly. */
+    @Test
+    void requestIsRepeatedAfterAnUnexpectedFailure() throws InterruptedException
+    {
+        AtomicInteger calls = new AtomicInteger();
+        AdviceDispatcher dispatcher = new AdviceDispatcher((step, workers, timeout) ->
+        {
+            if (calls.incrementAndGet() == 1)
+            {
+                throw new IllegalStateException("unexpected");
+            }
+            return new Advice(List.of(new Advice.Ticket("w1", "ticket")), 500);
+        }, events);
+        AdviceCache cache = new AdviceCache(cellState, dispatcher, () ->
+        {
+        });
+        Step step;
+        synchronized (cellState)
+        {
+            cellState.updateWorker(TestJobs.worker("w1", 16_000)).setLeaseHeld(true);
+            JobSpec spec = new JobSpec("text", List.of(TestJobs.step(1, 1_000, List.of())), 0, 0, 0);
+            cellState.accept(new JobRecord(TestJobs.ID, TestJobs.ADVISED_QUEUE, spec, 0), 1, null, 0);
+            step = cellState.findTask(TestJobs.ID + ".0.0.0").step();
+        }
+        assertThat(TestJobs.waitUntil(RETRY_PERIOD_MILLIS, () ->
+        {
+            synchronized (cellState)
+            {
+                cache.request(step);
+            }
+            return calls.get() > 1;
+        })).isTrue();
+    }
+
     private static WorkerEntry entryOf(long startTime)
     {
         return TestJobs.worker(new WorkerIncarnation("w1", startTime), 16_000);
