--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -120,12 +120,32 @@
         {
             Map<Job, List<Batch>> group = takeGroup();
             long startNanos = SteadyClock.nanos();
-            writeUntilDone(group);
+            try
+            {
+                writeUntilDone(group);
+            }
+            catch (RuntimeException e)
+            {
+                putBack(group);
+                throw e;
+            }
             group.forEach(this::completeWrite);
             pauseAfter(startNanos);
         }
     }
 
+    /**
+     * Enqueues a group again whose write failed unexpectedly; it is written once this task restarts.
+     */
+    private void putBack(Map<Job, List<Batch>> group)
+    {
+        synchronized (pendingJobs)
+        {
+            group.forEach((job, batches) -> pendingJobs.computeIfAbsent(job, key -> new ArrayList<>())
+                    .addAll(batches));
+        }
+    }
+
     /** Waits for further changes, so that one write carries many. */
     private static void pauseAfter(long startNanos) throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -95,6 +95,20 @@
         assertThat(isWritten(newJob())).isTrue();
     }
 
+    /** Guards against changes that are never written because a write of them failed unexpectedly. */
+    @Test
+    void writeIsRepeatedAfterAnUnexpectedFailure() throws InterruptedException
+    {
+        store.afterNextCommit(() ->
+        {
+            throw new IllegalStateException("unexpected");
+        });
+        Job job = newJob();
+        job.setState(JobState.COMPLETED);
+        assertThat(isWritten(job)).isTrue();
+        assertThat(storedState()).isEqualTo(JobState.COMPLETED);
+    }
+
     @Test
     void lateWriteCannotOverwriteNewerOne() throws InterruptedException
     {
