Election: a watcher that fails unexpectedly ends the wait

What callers saw: nothing yet; by reading, a dead owner that a box doesn't suspect until its key goes. Cause: two threads watch the owner, and the box waits for the first result without a limit. An exception other than that of a lost watch ended its thread silently. With both gone, the box would wait for ever. Change: any failure of a watcher fails the wait, is recorded, and the box lists the owner again. Test: OwnerElectionTest.deadOwnerIsSuspectedAfterAProbeFailedUnexpectedly, before: "expected to be true" after 4 s; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -196,9 +196,9 @@
     {
         StoredValue ownerKey = listing.values().getFirst();
         CompletableFuture<Boolean> isSuspected = new CompletableFuture<>();
-        Thread keyWatcher = OwnerTerm.inBackground("owner-change",
+        Thread keyWatcher = watchInBackground("owner-change", isSuspected,
                 () -> awaitKeyChange(listing.revision(), isSuspected));
-        Thread suspicionWatcher = OwnerTerm.inBackground("owner-suspicion",
+        Thread suspicionWatcher = watchInBackground("owner-suspicion", isSuspected,
                 () -> awaitSuspicion(ownerKey, isSuspected));
         try
         {
@@ -215,6 +215,28 @@
         }
     }
 
+    /** Runs a watcher. Its failure ends the wait, so that the owner is not left unwatched. */
+    private Thread watchInBackground(String name, CompletableFuture<Boolean> isSuspected,
+            OwnerTerm.Interruptible watcher)
+    {
+        return OwnerTerm.inBackground(name, () ->
+        {
+            try
+            {
+                watcher.run();
+            }
+            catch (GaugehollowException e)
+            {
+                isSuspected.completeExceptionally(e);
+            }
+            catch (RuntimeException e)
+            {
+                events.record(EventType.SERVICE_FAILED, name, String.valueOf(e));
+                isSuspected.completeExceptionally(e);
+            }
+        });
+    }
+
     private void awaitKeyChange(long revision, CompletableFuture<Boolean> isSuspected)
             throws InterruptedException
     {
@@ -227,10 +249,6 @@
             }
             isSuspected.complete(false);
         }
-        catch (GaugehollowException e)
-        {
-            isSuspected.completeExceptionally(e);
-        }
     }
 
     private void awaitSuspicion(StoredValue ownerKey, CompletableFuture<Boolean> isSuspected)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
@@ -21,6 +21,7 @@
     private final Set<Integer> holdMillis = ConcurrentHashMap.newKeySet();
     private final Set<String> peers;
     private final AtomicInteger calls = new AtomicInteger();
+    private final AtomicInteger callsToFail = new AtomicInteger();
 
     FakeOwnerProbe(String... peers)
     {
@@ -39,6 +40,12 @@
         return holdMillis.stream().mapToInt(Integer::intValue).max().orElse(0);
     }
 
+    /** Makes the given number of following probes fail unexpectedly. */
+    void failCalls(int count)
+    {
+        callsToFail.set(count);
+    }
+
     /** Makes probes of a box time out. */
     void setUnreachable(String box)
     {
@@ -67,6 +74,10 @@
         holdMillis.add(waitMillis);
         Thread.sleep(unreachable.contains(box) ? UNREACHABLE_CALL_MILLIS : CALL_MILLIS);
         calls.incrementAndGet();
+        if (callsToFail.getAndUpdate(count -> Math.max(0, count - 1)) > 0)
+        {
+            throw new IllegalStateException("unexpected");
+        }
         return results.getOrDefault(box, Result.UNREACHED);
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -96,6 +96,18 @@
         assertThat(new String(ownerKey().value(), StandardCharsets.UTF_8)).startsWith("bole-2/");
     }
 
+    /** Guards against a dead owner that nobody suspects because a probe failed unexpectedly before. */
+    @Test
+    void deadOwnerIsSuspectedAfterAProbeFailedUnexpectedly() throws InterruptedException
+    {
+        acquireForOther();
+        probe.setOwnerUnresponsive("bole-3", true);
+        probe.setOwnerUnresponsive("bole-4", true);
+        probe.failCalls(1);
+        startElection();
+        assertThat(TestJobs.waitUntil(4_000, () -> election.isOwner())).isTrue();
+    }
+
     @Test
     void responsiveOwnerStaysUntilItsKeyIsRemoved() throws InterruptedException
     {
