Hedged calls: fail when no attempt returns

Cause: after the last attempt the caller waited without a limit and relied on the limits of the attempts. Those have a gap: an exchange over HTTP waits without a limit until the connection has taken the request. Trial on loopback, a server that doesn't read, 500 ms allowed: 1 MB fails after 504 ms, 4 MB still hangs after 5 s. On links with small windows less is enough. Change: 10 s after the last attempt a write fails with an unknown outcome, a read as unavailable; callers handle both already. Test: HedgedCallTest.aCallWithoutAnyReturningAttemptFails, before: "execution timed out after 15000 ms"; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/HedgedCall.java
@@ -12,6 +12,7 @@
 
 import org.gaugehollow.model.AttemptOutcomes;
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
 
 /**
  * Repeats a call while earlier attempts are unanswered and returns the first answer. Suitable for
@@ -22,6 +23,8 @@
 {
     private static final int HEDGE_DELAY_MILLIS = 350;
     private static final int MAX_ATTEMPTS = 3;
+    /** Limit for calls that never return, far above the timeouts of the calls themselves. */
+    private static final int MAX_WAIT_MILLIS = 10_000;
 
     private HedgedCall()
     {
@@ -49,7 +52,8 @@
      * @param <T> the type of the result
      * @return the first answer
      * @throws InterruptedException if the thread is interrupted
-     * @throws GaugehollowException the first failure, if no attempt succeeded before it
+     * @throws GaugehollowException the first failure, if no attempt succeeded before it;
+     *             {@code STORE_UNAVAILABLE} if no attempt returns
      */
     public static <T> T read(Call<T> call) throws InterruptedException
     {
@@ -98,7 +102,10 @@
                     }
                 }
                 startAttempt();
-                return result.get();
+                if (completesWithin(MAX_WAIT_MILLIS))
+                {
+                    return result.get();
+                }
             }
             catch (ExecutionException e)
             {
@@ -106,6 +113,9 @@
                         ? failure
                         : new IllegalStateException(e);
             }
+            throw new GaugehollowException(
+                    write ? ResultCode.STORE_OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE,
+                    "no attempt returned within " + MAX_WAIT_MILLIS + " ms");
         }
 
         private boolean completesWithin(int millis) throws InterruptedException, ExecutionException
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/HedgedCallTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/HedgedCallTest.java
@@ -40,6 +40,30 @@
         assertThat(TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - startNanos)).isLessThan(700);
     }
 
+    /** Guards against callers that wait forever for calls over connections that take no more data. */
+    @Test
+    void aCallWithoutAnyReturningAttemptFails()
+    {
+        CountDownLatch never = new CountDownLatch(1);
+        HedgedCall.Call<Integer> hung = () ->
+        {
+            never.await();
+            return 1;
+        };
+        assertTimeoutPreemptively(Duration.ofSeconds(15), () ->
+        {
+            GaugehollowException failure = assertThrows(GaugehollowException.class,
+                    () -> HedgedCall.read(hung));
+            assertThat(failure.code()).isEqualTo(ResultCode.STORE_UNAVAILABLE);
+        });
+        assertTimeoutPreemptively(Duration.ofSeconds(15), () ->
+        {
+            GaugehollowException failure = assertThrows(GaugehollowException.class,
+                    () -> HedgedCall.write(hung));
+            assertThat(failure.code()).isEqualTo(ResultCode.STORE_OUTCOME_UNKNOWN);
+        });
+    }
+
     @Test
     void anAnsweredCallIsSentOnce() throws InterruptedException
     {
