KeyFollower: deliver a change again whose listener failed

What callers saw: nothing yet; by reading, a job that the owner doesn't know until the next owner lists all jobs. Cause: a change counted as delivered before its listener was called, and with it all changes of the same transaction. When the listener failed unexpectedly, the watch resumed behind them, against the promise to deliver each change at least once. Change: a revision counts once its last change is delivered. Test: KeyFollowerTest.changesAreDeliveredAgainAfterTheListenerFails, before: expected [keys/a, keys/b], was [null, null]; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
@@ -122,11 +122,29 @@
             {
                 List<StoreChange> changes = watch.poll(POLL_MILLIS);
                 recordRegained();
-                changes.forEach(this::deliver);
+                deliver(changes);
             }
         }
     }
 
+    /**
+     * Delivers the changes in order. A transaction may change several keys at one revision, which
+     * counts as delivered only after the last of them; a watch that resumes after a failure delivers
+     * all of them again.
+     */
+    private void deliver(List<StoreChange> changes)
+    {
+        for (StoreChange change : changes)
+        {
+            revision = Math.max(revision, change.revision() - 1);
+            deliver(change);
+        }
+        if (!changes.isEmpty())
+        {
+            revision = changes.getLast().revision();
+        }
+    }
+
     private void recordRegained()
     {
         if (watchLost)
@@ -138,7 +156,6 @@
 
     private void deliver(StoreChange change)
     {
-        revision = change.revision();
         if (change.deleted())
         {
             tracker.remove(change.key(), change.revision());
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/KeyFollowerTest.java
@@ -0,0 +1,90 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.supervise.Supervisor;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a follower delivers each change at least once. */
+class KeyFollowerTest
+{
+    private static final String PREFIX = "keys/";
+    private static final byte[] VALUE = {1};
+
+    private final FakeStore store = new FakeStore();
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final Supervisor supervisor = new Supervisor("test", events);
+    private final BlockingQueue<String> delivered = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> listings = new LinkedBlockingQueue<>();
+    private final AtomicInteger deliveriesToFail = new AtomicInteger();
+
+    /** Records the delivered keys. */
+    private final class Recorder implements KeyFollower.Listener
+    {
+        @Override
+        public void onPut(String key, byte[] value, long revision)
+        {
+            if (deliveriesToFail.getAndUpdate(count -> Math.max(0, count - 1)) > 0)
+            {
+                throw new IllegalStateException("unexpected");
+            }
+            delivered.add(key);
+        }
+
+        @Override
+        public void onRemoved(String key, long revision)
+        {
+            delivered.add("-" + key);
+        }
+
+        @Override
+        public void onListed(long revision)
+        {
+            listings.add(revision);
+        }
+    }
+
+    @AfterEach
+    void stop()
+    {
+        supervisor.close();
+    }
+
+    /** Guards against changes that are lost when the listener fails unexpectedly. */
+    @Test
+    void changesAreDeliveredAgainAfterTheListenerFails() throws InterruptedException
+    {
+        supervisor.start("follower", new KeyFollower(store, PREFIX, new Recorder(), events));
+        assertThat(listings.poll(3, TimeUnit.SECONDS)).isNotNull();
+        deliveriesToFail.set(1);
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE).put(PREFIX + "b", VALUE));
+        List<String> keys = List.of(String.valueOf(delivered.poll(3, TimeUnit.SECONDS)),
+                String.valueOf(delivered.poll(3, TimeUnit.SECONDS)));
+        assertThat(keys).containsExactly(PREFIX + "a", PREFIX + "b").inOrder();
+    }
+
+    @Test
+    void eachChangeIsDeliveredOnceWhileTheListenerSucceeds() throws InterruptedException
+    {
+        supervisor.start("follower", new KeyFollower(store, PREFIX, new Recorder(), events));
+        assertThat(listings.poll(3, TimeUnit.SECONDS)).isNotNull();
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE));
+        assertThat(delivered.poll(3, TimeUnit.SECONDS)).isEqualTo(PREFIX + "a");
+        store.commit(new StoreTransaction().delete(PREFIX + "a"));
+        assertThat(delivered.poll(3, TimeUnit.SECONDS)).isEqualTo("-" + PREFIX + "a");
+        assertThat(delivered.poll(500, TimeUnit.MILLISECONDS)).isNull();
+    }
+}
