Jobs: progress that doesn't fit its job stops that job only

What callers saw: nothing yet; by reading and test, a cell in which no task starts as long as one such record exists. Cause: an exception while the progress was restored ended the listing of the jobs; each repetition met it again, and no owner plans before its listing is complete. Change: the shape is checked before anything is restored. A job whose progress doesn't fit is reported as unreadable and not started, like one whose progress can't be parsed, because its runs are unknown. Test: WorkerSessionsTest.progressThatDoesNotFitItsJobDoesNotAffectOtherJobs, before: "expected to be true" after 4 s; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
@@ -179,6 +179,10 @@
         }
         catch (GaugehollowException e)
         {
+            if (recordedProgress.containsKey(id))
+            {
+                unreadable.add(id);
+            }
             term.events().record(EventType.JOB_UNREADABLE, id, e.getMessage());
         }
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
@@ -6,10 +6,15 @@
 
 import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
 
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
+import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.JobProgress.TaskProgress;
+import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
 
 /**
  * Restores a job to the state recorded by an earlier owner. Not thread-safe; guarded by the lock of
@@ -33,9 +38,19 @@
         this.nanoTime = nanoTime;
     }
 
-    /** Restores the state of a job and its possible runs. */
+    /**
+     * Restores the state of a job and its possible runs.
+     *
+     * @throws GaugehollowException {@code STORE_BAD_ANSWER} if the progress does not fit the job;
+     *             nothing is restored then
+     */
     void restore(Job job, JobProgress progress)
     {
+        if (!fits(progress, job))
+        {
+            throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER,
+                    "the progress does not fit the job's steps");
+        }
         job.setState(progress.state());
         for (int roundIndex = 0; roundIndex < progress.rounds().size(); roundIndex++)
         {
@@ -59,4 +74,18 @@
             crashGuard.onTaskRestored(task);
         }
     }
+
+    private static boolean fits(JobProgress progress, Job job)
+    {
+        return progress.state() != null && progress.rounds() != null
+                && progress.rounds().size() <= job.record().job().rounds()
+                && progress.rounds().stream().allMatch(round -> fits(round, job.record().job().steps()));
+    }
+
+    private static boolean fits(RoundProgress round, List<StepSpec> specs)
+    {
+        List<StepProgress> steps = round.steps();
+        return steps != null && steps.size() == specs.size() && IntStream.range(0, specs.size()).allMatch(
+                i -> steps.get(i).tasks() != null && steps.get(i).tasks().size() <= specs.get(i).count());
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerSessionsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerSessionsTest.java
@@ -8,7 +8,11 @@
 
 import java.util.List;
 
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobProgress.RoundProgress;
+import org.gaugehollow.job.JobState;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.worker.RunEnd;
 import org.junit.jupiter.api.AfterEach;
@@ -86,4 +90,19 @@
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(SECOND_TASK))).isTrue();
         assertThat(worker.isRunning(FIRST_TASK)).isFalse();
     }
+
+    /** Guards against progress of another shape that keeps all jobs from being read. */
+    @Test
+    void progressThatDoesNotFitItsJobDoesNotAffectOtherJobs() throws InterruptedException
+    {
+        accept(FIRST_JOB);
+        accept(SECOND_JOB);
+        JobProgress progress = new JobProgress(TestJobs.QUEUE.name(), JobState.RUNNING,
+                List.of(new RoundProgress(List.of())));
+        platform.store().commit(
+                new StoreTransaction().put(JobKeys.progress(FIRST_JOB), JobCodec.writeProgress(progress)));
+        term = new TestTerm(platform, "box");
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(SECOND_TASK))).isTrue();
+        assertThat(worker.isRunning(FIRST_TASK)).isFalse();
+    }
 }
