Stops: another sender takes over from a call that doesn't return

What callers saw: nothing yet; by reading and test, a run that stays STOPPING on a worker that answers heartbeats, with its task and room. Cause: at most one thread sends the stop of a task. Change: a sender whose attempt began 2 s ago (an attempt has 350 ms) no longer keeps others from sending. A stop may be sent twice. Test: HungCommandsTest.cancelledRunIsStoppedAlthoughItsStopHangs, before: "expected to be true" after 8 s; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/StopCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/StopCommands.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.gaugehollow.time.SteadyClock;
@@ -21,11 +20,30 @@
     private static final int COMMAND_TIMEOUT_MILLIS = 350;
     private static final int RETRY_DELAY_MILLIS = 150;
     private static final int MAX_ORPHAN_ATTEMPTS = 3;
+    /** Time after which another sender may take over from one whose attempt has not returned. */
+    private static final long ATTEMPT_TIMEOUT_NANOS = 2_000_000_000L;
 
     private final OwnerTerm term;
     private final TrackedWorker worker;
     private final WorkerPort port;
-    private final Set<String> activeTasks = ConcurrentHashMap.newKeySet();
+    /** The sender of the stop by task name. */
+    private final Map<String, Sender> senders = new ConcurrentHashMap<>();
+
+    /** A thread that sends the stop of a task. */
+    private static final class Sender
+    {
+        private volatile long attemptNanos = SteadyClock.nanos();
+
+        void beginAttempt()
+        {
+            attemptNanos = SteadyClock.nanos();
+        }
+
+        boolean isOverdue()
+        {
+            return SteadyClock.nanos() - attemptNanos >= ATTEMPT_TIMEOUT_NANOS;
+        }
+    }
 
     StopCommands(OwnerTerm term, TrackedWorker worker, WorkerPort port)
     {
@@ -37,7 +55,8 @@
     /** Sends a stop until the worker has accepted it or the run is known to have ended. */
     void send(Effects.Stop stop) throws InterruptedException
     {
-        if (!activeTasks.add(stop.taskName()))
+        Sender sender = new Sender();
+        if (!register(stop.taskName(), sender))
         {
             return;
         }
@@ -45,23 +64,37 @@
         {
             if (stop.task() == null)
             {
-                stopOrphanRun(stop);
+                stopOrphanRun(stop, sender);
             }
             else
             {
-                stopTask(stop);
+                stopTask(stop, sender);
             }
         }
         finally
         {
-            activeTasks.remove(stop.taskName());
+            senders.remove(stop.taskName(), sender);
         }
     }
 
-    private void stopTask(Effects.Stop stop) throws InterruptedException
+    /** Registers a sender unless another one is active. */
+    private boolean register(String task, Sender sender)
+    {
+        return senders.compute(task,
+                (name, current) -> current == null || current.isOverdue() ? sender : current) == sender;
+    }
+
+    private boolean isBeingSent(String task)
+    {
+        Sender sender = senders.get(task);
+        return sender != null && !sender.isOverdue();
+    }
+
+    private void stopTask(Effects.Stop stop, Sender sender) throws InterruptedException
     {
         while (isPending(stop) && term.lease().maySendCommands())
         {
+            sender.beginAttempt();
             CommandReply reply = port.stop(stop.taskName(), stop.run(), term.lease().fence(),
                     COMMAND_TIMEOUT_MILLIS);
             if (reply.result().isSettled())
@@ -100,10 +133,11 @@
         }
     }
 
-    private void stopOrphanRun(Effects.Stop stop) throws InterruptedException
+    private void stopOrphanRun(Effects.Stop stop, Sender sender) throws InterruptedException
     {
         for (int i = 0; i < MAX_ORPHAN_ATTEMPTS; i++)
         {
+            sender.beginAttempt();
             CommandReply reply = port.stop(stop.taskName(), stop.run(), term.lease().fence(),
                     COMMAND_TIMEOUT_MILLIS);
             if (reply.result().isSettled())
@@ -127,7 +161,7 @@
             {
                 boolean isUnanswered = task.phase() == Task.Phase.STOPPING
                         && task.settledNanos() == Task.UNSETTLED;
-                if (isUnanswered && !activeTasks.contains(task.name()))
+                if (isUnanswered && !isBeingSent(task.name()))
                 {
                     pending.add(new Effects.Stop(worker, task.name(), task.run(), task));
                 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -48,9 +48,15 @@
     private StartCommand lostStart;
     private boolean isReplaced;
     private boolean unresponsive;
+    private boolean losesAnswers;
     private boolean closed;
     private boolean unhealthy;
     private boolean delaysStarts;
+    private int startsToHang;
+    private StartCommand hungStart;
+    private int stopsToHang;
+    private int throttlesToLose;
+    private final List<Integer> speedLimits = new ArrayList<>();
     private long newestDeadline;
     private String newestTicket;
     private Predicate<String> poisonTasks = task -> false;
@@ -79,6 +85,36 @@
         stopsToLose = count;
     }
 
+    /** Lets the given number of starts hang: they are not executed, and the calls never return. */
+    synchronized void hangStarts(int count)
+    {
+        startsToHang = count;
+    }
+
+    /** Returns the newest start that hangs. */
+    synchronized StartCommand hungStart()
+    {
+        return hungStart;
+    }
+
+    /** Lets the given number of stops hang: they are not executed, and the calls never return. */
+    synchronized void hangStops(int count)
+    {
+        stopsToHang = count;
+    }
+
+    /** Loses the given number of throttle commands: they are neither executed nor answered. */
+    synchronized void loseThrottles(int count)
+    {
+        throttlesToLose = count;
+    }
+
+    /** Returns the speed limits that were executed, in percent and in order. */
+    synchronized List<Integer> speedLimits()
+    {
+        return List.copyOf(speedLimits);
+    }
+
     /** Refuses the given number of stops. */
     synchronized void refuseStops(int count)
     {
@@ -179,6 +215,12 @@
         unresponsive = value;
     }
 
+    /** Sets whether the worker executes calls but none of its answers arrives. */
+    synchronized void loseAnswers(boolean value)
+    {
+        losesAnswers = value;
+    }
+
     /** Adds a run that an earlier owner started. */
     synchronized void addRun(String task, int run)
     {
@@ -234,6 +276,14 @@
         return ends.size();
     }
 
+    private void hang() throws InterruptedException
+    {
+        while (true)
+        {
+            wait();
+        }
+    }
+
     private CommandResult checkCall(long fencingToken)
     {
         if (unresponsive)
@@ -281,6 +331,12 @@
     {
         startCount++;
         newestTicket = command.ticket();
+        if (startsToHang > 0)
+        {
+            startsToHang--;
+            hungStart = command;
+            hang();
+        }
         while (delaysStarts)
         {
             wait();
@@ -300,13 +356,18 @@
         {
             wait();
         }
-        return new CommandReply(result, clockMillis());
+        return reply(result);
     }
 
     @Override
     public synchronized CommandReply stop(String task, int run, long fencingToken, int timeoutMillis)
             throws InterruptedException
     {
+        if (stopsToHang > 0)
+        {
+            stopsToHang--;
+            hang();
+        }
         if (unhealthy)
         {
             return new CommandReply(CommandResult.UNHEALTHY, clockMillis());
@@ -335,14 +396,31 @@
         {
             wait();
         }
-        return new CommandReply(checked, clockMillis());
+        return reply(checked);
     }
 
     @Override
     public synchronized CommandReply throttle(String task, int run, int percent, long fencingToken,
             int timeoutMillis)
     {
-        return new CommandReply(checkCall(fencingToken), clockMillis());
+        if (throttlesToLose > 0)
+        {
+            throttlesToLose--;
+            return new CommandReply(CommandResult.UNKNOWN, 0);
+        }
+        CommandResult checked = checkCall(fencingToken);
+        if (checked == CommandResult.DONE)
+        {
+            speedLimits.add(percent);
+        }
+        return reply(checked);
+    }
+
+    private CommandReply reply(CommandResult result)
+    {
+        return losesAnswers
+                ? new CommandReply(CommandResult.UNKNOWN, 0)
+                : new CommandReply(result, clockMillis());
     }
 
     @Override
@@ -372,7 +450,9 @@
         {
             wait();
         }
-        return new HeartbeatReply(CommandResult.DONE, clockMillis(), runs, List.copyOf(ends));
+        return losesAnswers
+                ? HeartbeatReply.rejected(CommandResult.UNKNOWN)
+                : new HeartbeatReply(CommandResult.DONE, clockMillis(), runs, List.copyOf(ends));
     }
 
     @Override
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
@@ -0,0 +1,75 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.gaugehollow.job.JobCodec;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.job.JobState;
+import org.gaugehollow.platform.StoreTransaction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/**
+ * Guards against tasks that wait for a command whose call does not return, as over a silent
+ * connection that takes no more data, while the worker answers heartbeats over another connection.
+ */
+@Execution(ExecutionMode.CONCURRENT)
+class HungCommandsTest
+{
+    private static final String TASK = TestJobs.ID + ".0.0.0";
+    private static final long TIMEOUT_MILLIS = 8_000;
+
+    private final FakePlatform platform = new FakePlatform();
+    private FakeWorker worker;
+    private TestTerm term;
+
+    @BeforeEach
+    void beginTerm() throws InterruptedException
+    {
+        worker = platform.addWorker("w1");
+        term = new TestTerm(platform, "box");
+    }
+
+    @AfterEach
+    void stop()
+    {
+        term.close();
+    }
+
+    private void acceptJob() throws InterruptedException
+    {
+        platform.accept(TestJobs.job(TestJobs.ID, TestJobs.longRunning(1)));
+    }
+
+    private void cancelJob() throws InterruptedException
+    {
+        platform.store()
+                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
+    }
+
+    private boolean isFinishedInStore()
+    {
+        return platform.fakeStore().get(JobKeys.progress(TestJobs.ID))
+                .map(value -> JobCodec.readProgress(value.value()))
+                .filter(progress -> progress.state() == JobState.CANCELLED && progress.rounds() == null)
+                .isPresent();
+    }
+
+    @Test
+    void cancelledRunIsStoppedAlthoughItsStopHangs() throws InterruptedException
+    {
+        acceptJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
+        worker.hangStops(1);
+        cancelJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
+    }
+}
