Starts: stop a start whose call doesn't return

What callers saw: nothing yet; by reading and test, a task that stays ORDERED on a worker that answers heartbeats: never started elsewhere, its room and quota taken. Cause: only the thread that sends a start settles it. Time counts to the sending of the heartbeat, so a pause of the process alone stops nothing. Tests: HungCommandsTest.taskRunsAlthoughItsStartHangs and .hungStartIsBlockedBeforeTheNextOneIsSent, before: "expected to be true" after 8 s; pass now. Four tests name the time of a start; their checks are unchanged.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -55,6 +55,8 @@
      */
     private boolean suspect;
     private boolean mayHaveStarted;
+    /** Time at which the latest start was sent first. Only valid if {@link #mayHaveStarted} holds. */
+    private long sentNanos;
     private boolean hasStarted;
     /** Runs abandoned on unresponsive workers; each may still be running or may have ended. */
     private Set<Integer> abandonedRuns = Set.of();
@@ -107,9 +109,20 @@
     }
 
     /** Marks the start as being sent. */
-    void markSent()
+    void markSent(long nowNanos)
     {
-        mayHaveStarted = true;
+        if (!mayHaveStarted)
+        {
+            mayHaveStarted = true;
+            sentNanos = nowNanos;
+        }
+    }
+
+    /** Returns whether the start was sent at least the given time ago and is not settled. */
+    boolean isStartUnansweredFor(long nanos, long nowNanos)
+    {
+        return phase == Phase.ORDERED && mayHaveStarted && settledNanos == UNSETTLED
+                && nowNanos - sentNanos >= nanos;
     }
 
     /** Marks the task as running, as reported by the worker. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
@@ -21,6 +21,8 @@
 {
     private static final int COMMAND_TIMEOUT_MILLIS = 350;
     private static final int MAX_ATTEMPTS = 3;
+    /** Time after which a start counts as unanswered even if an attempt has not returned. */
+    private static final long START_TIMEOUT_NANOS = 3_000_000_000L;
 
     private final OwnerTerm term;
     private final TrackedWorker worker;
@@ -62,7 +64,7 @@
             if (reply.result() == CommandResult.UNKNOWN)
             {
                 mayArrive = true;
-                recordUnanswered(command);
+                recordUnanswered(command.task(), command.run(), "");
             }
             else if (reply.result() != CommandResult.NOT_SENT)
             {
@@ -73,14 +75,13 @@
         stopUncertainStart(start);
     }
 
-    private void recordUnanswered(StartCommand command)
+    private void recordUnanswered(String task, int run, String details)
     {
         synchronized (term.cellState())
         {
-            term.cellState().trackedWorkers().unansweredStarts().add(worker, command.task(), command.run(),
-                    SteadyClock.nanos());
+            term.cellState().trackedWorkers().unansweredStarts().add(worker, task, run, SteadyClock.nanos());
         }
-        term.events().record(EventType.ORDER_UNANSWERED, command.task(), "start on " + worker.id());
+        term.events().record(EventType.ORDER_UNANSWERED, task, "start on " + worker.id() + details);
     }
 
     /**
@@ -96,8 +97,9 @@
                 return null;
             }
             Task task = start.task();
-            task.markSent();
-            long deadlineMillis = worker.extendDeadline(WorkerSession.LEASE_MILLIS, SteadyClock.nanos());
+            long nowNanos = SteadyClock.nanos();
+            task.markSent(nowNanos);
+            long deadlineMillis = worker.extendDeadline(WorkerSession.LEASE_MILLIS, nowNanos);
             return new StartCommand(task.name(), start.run(), task.step().job().record().job().spec(),
                     deadlineMillis, term.lease().fence(), start.checkpoint(), newestTicket(start));
         }
@@ -276,6 +278,25 @@
         }
     }
 
+    /**
+     * Stops the starts whose attempts neither returned nor failed in time. Such a task would otherwise
+     * stay placed for as long as the worker answers heartbeats.
+     *
+     * @param heartbeatNanos time at which the heartbeat was sent that did not list their runs
+     */
+    void stopOverdueStarts(long heartbeatNanos)
+    {
+        List<Task> overdue;
+        synchronized (term.cellState())
+        {
+            overdue = worker.tasks().stream()
+                    .filter(task -> task.isStartUnansweredFor(START_TIMEOUT_NANOS, heartbeatNanos)).toList();
+            // StopCommands sends the stops that are pending after each heartbeat
+            overdue.forEach(Task::markStopping);
+        }
+        overdue.forEach(task -> recordUnanswered(task.name(), task.run(), ": the call did not return"));
+    }
+
     /** Adjusts the speed limits of best-effort tasks. */
     void adjustSpeedLimits()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -194,6 +194,7 @@
         }
         term.recordEnds(worker, reply, lastReadEnd);
         commands.adjustSpeedLimits();
+        commands.stopOverdueStarts(sentNanos);
         commands.stopCommands().sendPending();
         CompletableFuture<Void> written = new CompletableFuture<>();
         term.apply(effects, () -> written.complete(null));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CapacityPropertyTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CapacityPropertyTest.java
@@ -105,7 +105,7 @@
         List<Planner.Start> starts = planner.plan(clock.get(), 0).starts();
         for (Planner.Start start : starts)
         {
-            start.task().markSent();
+            start.task().markSent(clock.get());
             start.task().onStartAnswered(clock.get());
             running.add(start.task());
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -66,7 +66,7 @@
     {
         for (Planner.Start start : planner.plan(clock.get(), 0).starts())
         {
-            start.task().markSent();
+            start.task().markSent(clock.get());
             start.task().onStartAnswered(clock.get());
         }
     }
@@ -232,7 +232,7 @@
     private void startOn(Task task, TrackedWorker worker, boolean isAnswered)
     {
         task.assign(worker, task.run() + 1, clock.get());
-        task.markSent();
+        task.markSent(clock.get());
         if (isAnswered)
         {
             task.onStartAnswered(clock.get());
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
@@ -6,10 +6,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.worker.CommandResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -62,6 +65,25 @@
                 .isPresent();
     }
 
+    @Test
+    void taskRunsAlthoughItsStartHangs() throws InterruptedException
+    {
+        worker.hangStarts(1);
+        acceptJob();
+        assertThat(
+                TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.startedRuns().equals(List.of(TASK + "/2"))))
+                .isTrue();
+    }
+
+    @Test
+    void hungStartIsBlockedBeforeTheNextOneIsSent() throws InterruptedException
+    {
+        worker.hangStarts(1);
+        acceptJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
+        assertThat(worker.deliver(worker.hungStart())).isEqualTo(CommandResult.OLD_RUN);
+    }
+
     @Test
     void cancelledRunIsStoppedAlthoughItsStopHangs() throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaPropertyTest.java
@@ -272,7 +272,7 @@
         Set<String> startKeys = new HashSet<>();
         for (Planner.Start start : planner.plan(clock.get(), 0).starts())
         {
-            start.task().markSent();
+            start.task().markSent(clock.get());
             String customer = start.task().step().job().record().customer();
             String startKey = startKey(start);
             maxAllowedUnits.put(startKey, quotaUnits.get(customer));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SimulatedCell.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SimulatedCell.java
@@ -139,7 +139,7 @@
         /** Starts a run; a machine that is down does not answer. */
         private void start(Planner.Start start)
         {
-            start.task().markSent();
+            start.task().markSent(clock.get());
             if (isDown)
             {
                 return;
