Speed limits: send a limit until the worker is known to apply it

What callers saw: nothing yet; by reading and test, a best-effort task that stands still for good: its run is there, and at 0 %. Cause, three ways: a new owner took each run to be at full speed, although the one before may have throttled it to 0 % (the worker keeps that); a limit that got no answer three times was given up and yet counted as set; an unanswered, older limit may be carried out seconds later, over a newer one. Nothing else ends this wait, as best-effort tasks are never considered stalled. Change: SpeedLimitDelivery tracks whether the worker is known to apply the limit. An unknown one is sent once a second until it is answered, and again until no earlier command can arrive (15 s, as for starts). A sender stops once its limit is no longer wanted. Cost: one order for each best-effort run at a change of owner.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -48,6 +48,7 @@
     private long runMillis;
     private int speedLimitPercent = FULL_PERCENT;
     private long speedLimitSetNanos;
+    private final SpeedLimitDelivery speedLimitDelivery = new SpeedLimitDelivery();
     private String failedWorkerId;
     private CrashHistory crashes = CrashHistory.NONE;
     /**
@@ -84,6 +85,7 @@
             assign(recordedWorker, run, nowNanos);
             mayHaveStarted = true;
             settledNanos = Long.MIN_VALUE;
+            speedLimitDelivery.markUnknown();
         }
     }
 
@@ -103,6 +105,7 @@
         observation.reset(nowNanos);
         speedLimitPercent = FULL_PERCENT;
         speedLimitSetNanos = nowNanos;
+        speedLimitDelivery.reset();
         mayHaveStarted = false;
         hasStarted = false;
         target.addTask(this);
@@ -323,6 +326,13 @@
     {
         speedLimitPercent = newPercent;
         speedLimitSetNanos = nowNanos;
+        speedLimitDelivery.markUnknown();
+    }
+
+    /** Returns the delivery of {@link #speedLimitPercent} to the worker. */
+    SpeedLimitDelivery speedLimitDelivery()
+    {
+        return speedLimitDelivery;
     }
 
     long speedLimitSetNanos()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ThrottleController.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ThrottleController.java
@@ -53,7 +53,7 @@
     /**
      * Adjusts the speed limits of a worker after a heartbeat.
      *
-     * @return the changes to send
+     * @return the changes to send, and the limits to send again
      */
     static List<SpeedLimitChange> adjust(TrackedWorker worker, long nowNanos)
     {
@@ -92,7 +92,11 @@
         if (SPEED_LIMITS_PERCENT[level] != task.speedLimitPercent())
         {
             task.setSpeedLimitPercent(SPEED_LIMITS_PERCENT[level], nowNanos);
-            changes.add(new SpeedLimitChange(task, task.run(), SPEED_LIMITS_PERCENT[level]));
+        }
+        if (task.speedLimitDelivery().isDue(nowNanos))
+        {
+            task.speedLimitDelivery().onSent(nowNanos);
+            changes.add(new SpeedLimitChange(task, task.run(), task.speedLimitPercent()));
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/UnansweredStarts.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/UnansweredStarts.java
@@ -18,8 +18,8 @@
  */
 final class UnansweredStarts
 {
-    /** Longest time between sending a start and its execution. */
-    private static final long MAX_DELIVERY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(15);
+    /** Longest time between sending a command and its execution. */
+    static final long MAX_DELIVERY_DELAY_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     private final List<SentStart> sentStarts = new ArrayList<>();
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
@@ -315,14 +315,45 @@
 
     private void sendSpeedLimit(ThrottleController.SpeedLimitChange change) throws InterruptedException
     {
-        for (int i = 0; i < MAX_ATTEMPTS; i++)
+        for (int i = 0; i < MAX_ATTEMPTS && isCurrent(change); i++)
         {
             CommandReply reply = port.throttle(change.task().name(), change.run(), change.percent(),
                     term.lease().fence(), COMMAND_TIMEOUT_MILLIS);
+            recordSpeedLimitReply(change, reply.result());
             if (reply.result().isSettled())
             {
                 return;
             }
         }
     }
+
+    /** Returns whether the limit is still wanted; an older one must not be sent after a newer one. */
+    private boolean isCurrent(ThrottleController.SpeedLimitChange change)
+    {
+        synchronized (term.cellState())
+        {
+            return change.task().isAt(worker, change.run())
+                    && change.task().speedLimitPercent() == change.percent();
+        }
+    }
+
+    private void recordSpeedLimitReply(ThrottleController.SpeedLimitChange change, CommandResult result)
+    {
+        synchronized (term.cellState())
+        {
+            if (!change.task().isAt(worker, change.run()))
+            {
+                return;
+            }
+            SpeedLimitDelivery delivery = change.task().speedLimitDelivery();
+            if (result == CommandResult.UNKNOWN)
+            {
+                delivery.onUnanswered(SteadyClock.nanos());
+            }
+            else if (result == CommandResult.DONE && isCurrent(change))
+            {
+                delivery.onAnswered();
+            }
+        }
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -69,6 +69,13 @@
                 true, null, 0, false, 1);
     }
 
+    /** Returns a step of one best-effort task, which is never considered stalled. */
+    static StepSpec bestEffort()
+    {
+        return new StepSpec(1, 1_000, 100, 0, 800, List.of(), true, false, false, null, null, 0, false, false,
+                null, 0, true, 0);
+    }
+
     static JobRecord job(String id, StepSpec... steps)
     {
         return new JobRecord(id, QUEUE, new JobSpec("text", List.of(steps), 0, 0, 0), 0);
