--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -92,4 +94,19 @@
         term.startConfirming();
         assertTaskRuns();
     }
+
+    /** Guards against a stop that is dropped while the term is unconfirmed and not sent again. */
+    @Test
+    void runCancelledWhileUnconfirmedIsStoppedOnceTermIsConfirmed() throws InterruptedException
+    {
+        platform.accept(TestJobs.job(TestJobs.ID, TestJobs.bestEffort()));
+        assertTaskRuns();
+        awaitUnconfirmed();
+        platform.store()
+                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
+        Thread.sleep(UNCONFIRMED_MILLIS);
+        assertThat(worker.stoppedTasks()).isEmpty();
+        term.startConfirming();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
+    }
 }
