Stops: send a stop again while the worker lists the run

What callers saw: nothing yet; by reading and test, a run that stays STOPPING, with its task and room, on a worker that answers. Cause: an answered stop was never sent again. The only end of the wait was a heartbeat without the run, so the answer had to be true. Change: when a heartbeat that was sent 3 s after the answer still lists the run (a worker has 0.9 s at most), the stop counts as unanswered and is sent again. Test: HungCommandsTest.stopIsSentAgainWhileTheWorkerListsTheRun, before: "expected to be true" after 8 s; passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -308,7 +308,7 @@
         worker.clearOrphanRuns();
         for (RunningRun run : reply.running())
         {
-            handleReportedRun(worker, run, reportedTasks, effects);
+            handleReportedRun(worker, run, sentNanos, reportedTasks, effects);
         }
         if (reply.ended().size() < MAX_REPORTED_ENDS)
         {
@@ -317,8 +317,8 @@
         return effects;
     }
 
-    private void handleReportedRun(TrackedWorker worker, RunningRun run, Set<Task> reportedTasks,
-            Effects effects)
+    private void handleReportedRun(TrackedWorker worker, RunningRun run, long sentNanos,
+            Set<Task> reportedTasks, Effects effects)
     {
         Task task = findTask(run.task());
         if (task == null || !task.isAt(worker, run.run()))
@@ -330,6 +330,7 @@
         long now = nanoTime.getAsLong();
         reportedTasks.add(task);
         task.markRunning(now);
+        task.onListed(sentNanos);
         task.observe(run.percent(), run.gauge(), now);
         saveCheckpoint(task, run.checkpoint());
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -33,6 +33,11 @@
 
     /** Full value of {@link #percent} and {@link #speedLimitPercent}. */
     static final int FULL_PERCENT = 100;
+    /**
+     * Time after which a stop is sent again if the worker still lists the run, far above what a stop
+     * takes.
+     */
+    private static final long STOP_TIMEOUT_NANOS = 3_000_000_000L;
     /** Marks a command whose effect on the worker is not known yet. */
     static final long UNSETTLED = Long.MAX_VALUE;
 
@@ -171,6 +176,19 @@
         }
     }
 
+    /**
+     * Handles a heartbeat, sent at the given time, that lists the run. An answered stop may have been
+     * lost.
+     */
+    void onListed(long heartbeatNanos)
+    {
+        if (phase == Phase.STOPPING && settledNanos != UNSETTLED
+                && heartbeatNanos - settledNanos >= STOP_TIMEOUT_NANOS)
+        {
+            settledNanos = UNSETTLED;
+        }
+    }
+
     /** Marks the task as stopping before the stop is sent. */
     void markStopping()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -55,6 +55,7 @@
     private int startsToHang;
     private StartCommand hungStart;
     private int stopsToHang;
+    private int stopsToIgnore;
     private int throttlesToLose;
     private final List<Integer> speedLimits = new ArrayList<>();
     private long newestDeadline;
@@ -97,6 +98,12 @@
         return hungStart;
     }
 
+    /** Ignores the given number of stops: they are answered but not executed. */
+    synchronized void ignoreStops(int count)
+    {
+        stopsToIgnore = count;
+    }
+
     /** Lets the given number of stops hang: they are not executed, and the calls never return. */
     synchronized void hangStops(int count)
     {
@@ -383,7 +390,11 @@
             return new CommandReply(CommandResult.UNKNOWN, 0);
         }
         CommandResult checked = checkCall(fencingToken);
-        if (checked == CommandResult.DONE)
+        if (checked == CommandResult.DONE && stopsToIgnore > 0)
+        {
+            stopsToIgnore--;
+        }
+        else if (checked == CommandResult.DONE)
         {
             stoppedTasks.add(task);
             highestEndedRun.merge(task, run, Math::max);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
@@ -94,4 +94,18 @@
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
     }
+
+    /**
+     * Guards against a run that stays stopping because its worker answered the stop but still lists it.
+     */
+    @Test
+    void stopIsSentAgainWhileTheWorkerListsTheRun() throws InterruptedException
+    {
+        acceptJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
+        worker.ignoreStops(1);
+        cancelJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
+    }
 }
