Sessions: restart a session whose heartbeat doesn't return

What callers saw: nothing yet; by reading and test, a worker that is not used for the rest of a term, or whose run ends are not read while it counts as responsive and each start extends its lease. Cause: one thread sends a worker's heartbeats, and nothing limited a call that doesn't return. A session that its supervisor restarted after a failure took the open heartbeat for an answered one and renewed the lease. Change: the listing of workers restarts a session whose heartbeat is open for 8 s (its timeout is 2.4 s at most; a term that is unconfirmed for 8 s ends anyway). A restarted session counts the open heartbeat as unanswered. Test: HungCommandsTest.workerIsUsedAgainAfterItsHeartbeatHangs, before: "expected to be true" (no further heartbeat in 16 s); passes now.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -37,6 +37,13 @@
     private static final int RETRY_DELAY_MILLIS = 150;
     private static final int WRITE_TIMEOUT_MILLIS = 400;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    /**
+     * Time after which a heartbeat counts as hung, far above its timeout and a short pause of the
+     * process.
+     */
+    private static final long HUNG_HEARTBEAT_NANOS = 8_000 * NANOS_PER_MILLI;
+    /** Value of {@link #openSinceNanos} while no heartbeat is open. */
+    private static final long NOT_OPEN = Long.MIN_VALUE;
 
     private final OwnerTerm term;
     private final TrackedWorker worker;
@@ -47,6 +54,8 @@
     private long lastReadEnd;
     private boolean reachable = true;
     private boolean hasAnswered;
+    /** Time at which the heartbeat was sent whose reply is awaited or being handled. */
+    private volatile long openSinceNanos = NOT_OPEN;
 
     WorkerSession(OwnerTerm term, TrackedWorker worker, WorkerPort port)
     {
@@ -65,6 +74,10 @@
     @Override
     public void run() throws InterruptedException
     {
+        if (openSinceNanos != NOT_OPEN)
+        {
+            recordUnanswered("unknown, since the session was restarted", false);
+        }
         boolean hasEnded = false;
         while (!hasEnded && !term.lease().hasEnded())
         {
@@ -99,7 +112,23 @@
         HeartbeatRequest request = createRequest(hasPendingWrites);
         long sentNanos = SteadyClock.nanos();
         int timeoutMillis = request.waitMillis() + HEARTBEAT_SLACK_MILLIS;
+        openSinceNanos = sentNanos;
         HeartbeatReply reply = port.heartbeat(request, timeoutMillis);
+        boolean hasEnded = handleResult(reply, sentNanos, timeoutMillis);
+        openSinceNanos = NOT_OPEN;
+        return hasEnded;
+    }
+
+    /** Returns whether a heartbeat has been open for much longer than its timeout. */
+    boolean isHung()
+    {
+        long openSince = openSinceNanos;
+        return openSince != NOT_OPEN && SteadyClock.nanos() - openSince >= HUNG_HEARTBEAT_NANOS;
+    }
+
+    private boolean handleResult(HeartbeatReply reply, long sentNanos, int timeoutMillis)
+            throws InterruptedException
+    {
         switch (reply.result())
         {
             case DONE -> handleReply(reply, sentNanos);
@@ -113,8 +142,8 @@
             }
             case NOT_SENT -> Thread.sleep(RETRY_DELAY_MILLIS);
             default -> {
-                updateReachable(false, () -> "heartbeat result " + reply.result() + "; " + describeLease());
-                recordMiss(SteadyClock.nanos() - sentNanos < timeoutMillis * NANOS_PER_MILLI);
+                recordUnanswered(reply.result().toString(),
+                        SteadyClock.nanos() - sentNanos < timeoutMillis * NANOS_PER_MILLI);
                 if (isUnlistedAndIdle())
                 {
                     term.onSessionEnded(worker);
@@ -257,8 +286,9 @@
         }
     }
 
-    private void recordMiss(boolean connectionBroken)
+    private void recordUnanswered(String result, boolean connectionBroken)
     {
+        updateReachable(false, () -> "heartbeat result " + result + "; " + describeLease());
         synchronized (term.cellState())
         {
             worker.recordMissedHeartbeat(SteadyClock.nanos(), connectionBroken);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSessions.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSessions.java
@@ -142,12 +142,17 @@
             WorkerSession session = new WorkerSession(term, trackedWorker,
                     platform.openWorker(entry, term.lease()::maySendCommands));
             sessions.put(incarnation, session);
-            supervisor.start("worker-" + incarnation, session);
+            startSession(incarnation, session);
         }
         term.wake();
         return true;
     }
 
+    private void startSession(String incarnation, WorkerSession session)
+    {
+        supervisor.start("worker-" + incarnation, session);
+    }
+
     private void recordRefusal(String workerId, String incarnation, String reason)
     {
         if (incarnation != null)
@@ -214,6 +219,13 @@
     @Override
     public void onListed(long revision)
     {
+        sessions.forEach((incarnation, session) ->
+        {
+            if (session.isHung())
+            {
+                startSession(incarnation, session);
+            }
+        });
         term.wake();
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -56,6 +56,7 @@
     private StartCommand hungStart;
     private int stopsToHang;
     private int stopsToIgnore;
+    private int heartbeatsToHang;
     private int throttlesToLose;
     private final List<Integer> speedLimits = new ArrayList<>();
     private long newestDeadline;
@@ -98,6 +99,12 @@
         return hungStart;
     }
 
+    /** Lets the given number of heartbeats hang: the calls never return. */
+    synchronized void hangHeartbeats(int count)
+    {
+        heartbeatsToHang = count;
+    }
+
     /** Ignores the given number of stops: they are answered but not executed. */
     synchronized void ignoreStops(int count)
     {
@@ -440,6 +447,11 @@
     {
         heartbeatCount++;
         newestDeadline = Math.max(newestDeadline, request.deadlineMillis());
+        if (heartbeatsToHang > 0)
+        {
+            heartbeatsToHang--;
+            hang();
+        }
         if (unresponsive)
         {
             wait(timeoutMillis);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
@@ -108,4 +108,18 @@
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
     }
+
+    /** Guards against a worker that is not used for the rest of the term. */
+    @Test
+    void workerIsUsedAgainAfterItsHeartbeatHangs() throws InterruptedException
+    {
+        worker.hangHeartbeats(1);
+        int heartbeats = worker.heartbeatCount();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.heartbeatCount() > heartbeats)).isTrue();
+        Thread.sleep(TIMEOUT_MILLIS);
+        acceptJob();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.heartbeatCount() > heartbeats + 2))
+                .isTrue();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
+    }
 }
