--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -33,6 +33,11 @@
 
     /** Full value of {@link #percent} and {@link #speedLimitPercent}. */
     static final int FULL_PERCENT = 100;
+    /**
+     * Time after which a stop is sent again if the worker still lists the run, far above what a stop
+     * takes.
+     */
+    private static final long STOP_TIMEOUT_NANOS = 3_000_000_000L;
     /** Marks a command whose effect on the worker is not known yet. */
     static final long UNSETTLED = Long.MAX_VALUE;
 
@@ -48,6 +53,7 @@
     private long runMillis;
     private int speedLimitPercent = FULL_PERCENT;
     private long speedLimitSetNanos;
+    private final SpeedLimitDelivery speedLimitDelivery = new SpeedLimitDelivery();
     private String failedWorkerId;
     private CrashHistory crashes = CrashHistory.NONE;
     /**
@@ -55,6 +61,8 @@
      */
     private boolean suspect;
     private boolean mayHaveStarted;
+    /** Time at which the latest start was sent first. Only valid if {@link #mayHaveStarted} holds. */
+    private long sentNanos;
     private boolean hasStarted;
     /** Runs abandoned on unresponsive workers; each may still be running or may have ended. */
     private Set<Integer> abandonedRuns = Set.of();
@@ -82,6 +90,7 @@
             assign(recordedWorker, run, nowNanos);
             mayHaveStarted = true;
             settledNanos = Long.MIN_VALUE;
+            speedLimitDelivery.markUnknown();
         }
     }
 
@@ -101,15 +110,27 @@
         observation.reset(nowNanos);
         speedLimitPercent = FULL_PERCENT;
         speedLimitSetNanos = nowNanos;
+        speedLimitDelivery.reset();
         mayHaveStarted = false;
         hasStarted = false;
         target.addTask(this);
     }
 
     /** Marks the start as being sent. */
-    void markSent()
+    void markSent(long nowNanos)
     {
-        mayHaveStarted = true;
+        if (!mayHaveStarted)
+        {
+            mayHaveStarted = true;
+            sentNanos = nowNanos;
+        }
+    }
+
+    /** Returns whether the start was sent at least the given time ago and is not settled. */
+    boolean isStartUnansweredFor(long nanos, long nowNanos)
+    {
+        return phase == Phase.ORDERED && mayHaveStarted && settledNanos == UNSETTLED
+                && nowNanos - sentNanos >= nanos;
     }
 
     /** Marks the task as running, as reported by the worker. */
@@ -155,6 +176,19 @@
         }
     }
 
+    /**
+     * Handles a heartbeat, sent at the given time, that lists the run. An answered stop may have been
+     * lost.
+     */
+    void onListed(long heartbeatNanos)
+    {
+        if (phase == Phase.STOPPING && settledNanos != UNSETTLED
+                && heartbeatNanos - settledNanos >= STOP_TIMEOUT_NANOS)
+        {
+            settledNanos = UNSETTLED;
+        }
+    }
+
     /** Marks the task as stopping before the stop is sent. */
     void markStopping()
     {
@@ -310,6 +344,13 @@
     {
         speedLimitPercent = newPercent;
         speedLimitSetNanos = nowNanos;
+        speedLimitDelivery.markUnknown();
+    }
+
+    /** Returns the delivery of {@link #speedLimitPercent} to the worker. */
+    SpeedLimitDelivery speedLimitDelivery()
+    {
+        return speedLimitDelivery;
     }
 
     long speedLimitSetNanos()
