--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -74,6 +74,7 @@
     @Override
     public void run() throws InterruptedException
     {
+        // a restarted session must not renew the lease as if its last heartbeat had been answered
         if (openSinceNanos != NOT_OPEN)
         {
             recordUnanswered("unknown, since the session was restarted", false);
@@ -126,6 +127,7 @@
         return openSince != NOT_OPEN && SteadyClock.nanos() - openSince >= HUNG_HEARTBEAT_NANOS;
     }
 
+    /** Handles the result of a heartbeat and returns whether the session has ended. */
     private boolean handleResult(HeartbeatReply reply, long sentNanos, int timeoutMillis)
             throws InterruptedException
     {
