--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -195,13 +195,14 @@
         finally
         {
             // also after an unexpected exception, or the step could never request advice again
-            endRequest(advice, workers, reply, spec);
+            endRequest(step, advice, workers, reply);
         }
     }
 
-    private void endRequest(StepAdvice advice, List<TrackedWorker> workers, Optional<Advice> reply,
-            AdviceSpec spec)
+    private void endRequest(Step step, StepAdvice advice, List<TrackedWorker> workers,
+            Optional<Advice> reply)
     {
+        AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
         synchronized (cellState)
         {
             boolean hasFailed = reply.isEmpty() && isWanted(step);
