--- a/gaugehollow/src/test/java/org/gaugehollow/peer/SilencingRelay.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/peer/SilencingRelay.java
@@ -59,6 +59,12 @@
         return hops.size();
     }
 
+    /** Returns the number of connections that neither side has closed. */
+    long openConnections()
+    {
+        return hops.stream().filter(hop -> !hop.client().isClosed()).count();
+    }
+
     /** Discards all further data of the open connections without closing them. */
     void silenceOpenConnections()
     {
