--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -17,25 +17,19 @@
 import org.gaugehollow.time.SteadyClock;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
 /**
@@ -48,25 +42,6 @@
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    /** Part of a response, or the loss of the connection, as queued by the event loop. */
-    private sealed interface ResponsePart
-    {
-        /** The status and headers. */
-        record Head(HttpResponse response) implements ResponsePart
-        {
-        }
-
-        /** A chunk of the body. */
-        record Chunk(byte[] bytes, boolean last) implements ResponsePart
-        {
-        }
-
-        /** The loss of the connection. */
-        record ConnectionLost(String reason) implements ResponsePart
-        {
-        }
-    }
-
     private final Channel channel;
     private final String address;
     private final BlockingDeque<ResponsePart> parts = new LinkedBlockingDeque<>();
@@ -87,7 +62,7 @@
                     {
                         ch.pipeline().addLast(
                                 new HttpClientCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                                new ResponseHandler());
+                                new ResponseHandler(parts));
                     }
                 });
         ChannelFuture connected = bootstrap.connect(target).await();
@@ -207,8 +182,8 @@
         while (!complete)
         {
             ResponsePart.Chunk chunk = readBodyChunk(nextDeadline(idleNanos, deadlineNanos));
-            body.writeBytes(chunk.bytes);
-            complete = chunk.last;
+            body.writeBytes(chunk.bytes());
+            complete = chunk.last();
             if (body.size() > maxBodyBytes)
             {
                 throw closeWithFailure(ResultCode.ANSWER_TOO_LARGE,
@@ -276,7 +251,7 @@
             return new byte[0];
         }
         ResponsePart.Chunk chunk = readBodyChunk(deadlineNanos);
-        return chunk.last && chunk.bytes.length == 0 ? null : chunk.bytes;
+        return chunk.last() && chunk.bytes().length == 0 ? null : chunk.bytes();
     }
 
     private boolean awaitPart(long deadlineNanos) throws InterruptedException
@@ -356,7 +331,7 @@
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN, "the response has a body without headers");
         }
-        HttpResponse response = head.response;
+        HttpResponse response = head.response();
         if (response.decoderResult().isFailure())
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN, "the response is not valid HTTP");
@@ -390,7 +365,7 @@
         if (part instanceof ResponsePart.ConnectionLost lost)
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN,
-                    "the connection to " + address + " was lost: " + lost.reason);
+                    "the connection to " + address + " was lost: " + lost.reason());
         }
         return part;
     }
@@ -408,43 +383,4 @@
         // channelInactive wakes a thread that waits for the next part
         ChannelFuture unused = channel.close();
     }
-
-    /** Queues response parts for the waiting thread. */
-    private final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject>
-    {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
-        {
-            if (message instanceof HttpResponse response)
-            {
-                parts.add(new ResponsePart.Head(response));
-            }
-            if (message instanceof HttpContent content)
-            {
-                boolean last = content instanceof LastHttpContent;
-                if (content.decoderResult().isFailure())
-                {
-                    parts.add(new ResponsePart.ConnectionLost("the response body is not valid HTTP"));
-                }
-                else
-                {
-                    parts.add(new ResponsePart.Chunk(ByteBufUtil.getBytes(content.content()), last));
-                }
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx)
-        {
-            parts.add(new ResponsePart.ConnectionLost("closed"));
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
-        {
-            parts.add(new ResponsePart.ConnectionLost(String.valueOf(cause.getMessage())));
-            ctx.close().addListener(
-                    closed -> parts.add(new ResponsePart.ConnectionLost("closed after an error")));
-        }
-    }
 }
