HttpConnection: the call's deadline covers sending the request

A call with a request larger than the socket buffers, a store transaction of many records for instance, blocked its thread for ever if the connection had fallen silent: its callers got neither an answer nor a timeout.

Cause: the wait for the write, and for the event loop in exchangeIf, had no limit. The deadline was applied to the reply alone.

Both waits now end at the call's deadline. After a write that is not complete by then the connection is closed and the call ends with UPSTREAM_TIMEOUT, whose outcome is unknown, as for a lost reply. A request that the event loop has not taken by then is cancelled; a cancelled task never runs, so that call is reported as not sent (UPSTREAM_REFUSED).

--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -117,7 +117,7 @@
     public HttpReply exchange(HttpRequest request, long deadlineNanos, int maxBodyBytes)
             throws InterruptedException
     {
-        send(request);
+        send(request, deadlineNanos);
         return awaitResponse(deadlineNanos, maxBodyBytes);
     }
 
@@ -125,7 +125,7 @@
      * Sends a request and waits for the complete response with an idle timeout.
      *
      * @param request the request
-     * @param idleNanos timeout for the headers and for each body chunk, in nanoseconds
+     * @param idleNanos timeout for the request, for the headers and for each body chunk, in nanoseconds
      * @param deadlineNanos overall deadline on the clock of {@link SteadyClock#nanos}
      * @param maxBodyBytes maximum size of the response body
      * @return the response
@@ -135,7 +135,7 @@
     public HttpReply exchangeWithIdleTimeout(HttpRequest request, long idleNanos, long deadlineNanos,
             int maxBodyBytes) throws InterruptedException
     {
-        send(request);
+        send(request, nextDeadline(idleNanos, deadlineNanos));
         return awaitResponse(idleNanos, deadlineNanos, maxBodyBytes);
     }
 
@@ -154,7 +154,7 @@
     public HttpReply exchangeIf(BooleanSupplier maySend, HttpRequest request, long deadlineNanos,
             int maxBodyBytes) throws InterruptedException
     {
-        sendIf(maySend, request);
+        sendIf(maySend, request, deadlineNanos);
         return awaitResponse(deadlineNanos, maxBodyBytes);
     }
 
@@ -226,13 +226,14 @@
      * Sends a request with a streamed response and waits for the response headers.
      *
      * @param request the request
-     * @param deadlineNanos deadline for the headers, on the clock of {@link SteadyClock#nanos}
+     * @param deadlineNanos deadline for the request and the headers, on the clock of
+     *            {@link SteadyClock#nanos}
      * @return the status and headers, with an empty body
      * @throws InterruptedException if the thread is interrupted
      */
     public HttpReply openStream(HttpRequest request, long deadlineNanos) throws InterruptedException
     {
-        send(request);
+        send(request, deadlineNanos);
         return readHead(deadlineNanos);
     }
 
@@ -266,22 +267,23 @@
         return true;
     }
 
-    private void send(HttpRequest request) throws InterruptedException
+    private void send(HttpRequest request, long deadlineNanos) throws InterruptedException
     {
-        awaitWritten(channel.writeAndFlush(prepareRequest(request)));
+        awaitWritten(channel.writeAndFlush(prepareRequest(request)), deadlineNanos);
     }
 
     /**
      * Evaluates the condition on the event loop, so that nothing runs between the check and the write.
      */
-    private void sendIf(BooleanSupplier maySend, HttpRequest request) throws InterruptedException
+    private void sendIf(BooleanSupplier maySend, HttpRequest request, long deadlineNanos)
+            throws InterruptedException
     {
         FullHttpRequest message = prepareRequest(request);
         Future<Optional<ChannelFuture>> submitted = channel.eventLoop()
                 .submit(() -> maySend.getAsBoolean()
                         ? Optional.of(channel.writeAndFlush(message))
-                        : Optional.<ChannelFuture>empty())
-                .await();
+                        : Optional.<ChannelFuture>empty());
+        awaitSubmitted(submitted, message, deadlineNanos);
         if (!submitted.isSuccess())
         {
             throw closeWithFailure(ResultCode.UPSTREAM_REFUSED,
@@ -294,7 +296,24 @@
             throw new GaugehollowException(ResultCode.NO_RIGHTS,
                     "requests to " + address + " are currently not allowed");
         }
-        awaitWritten(submitted.getNow().get());
+        awaitWritten(submitted.getNow().get(), deadlineNanos);
+    }
+
+    /** Waits until the event loop has taken the request; one that is cancelled first is not sent. */
+    private void awaitSubmitted(Future<?> submitted, FullHttpRequest message, long deadlineNanos)
+            throws InterruptedException
+    {
+        if (submitted.await(remainingMillis(deadlineNanos)))
+        {
+            return;
+        }
+        if (submitted.cancel(false))
+        {
+            message.release();
+            throw closeWithFailure(ResultCode.UPSTREAM_REFUSED,
+                    "the request to " + address + " was not sent before its deadline");
+        }
+        throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT, "timed out sending the request to " + address);
     }
 
     private FullHttpRequest prepareRequest(HttpRequest request)
@@ -315,9 +334,17 @@
         return message;
     }
 
-    private void awaitWritten(ChannelFuture written) throws InterruptedException
+    /**
+     * Waits until the request is written, which takes until the server reads if it exceeds the buffers.
+     */
+    private void awaitWritten(ChannelFuture written, long deadlineNanos) throws InterruptedException
     {
-        if (!written.await().isSuccess())
+        if (!written.await(remainingMillis(deadlineNanos)))
+        {
+            throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT,
+                    "timed out sending the request to " + address);
+        }
+        if (!written.isSuccess())
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN,
                     "the connection was lost while the request was sent");
@@ -355,8 +382,7 @@
 
     private ResponsePart nextPart(long deadlineNanos) throws InterruptedException
     {
-        long remainingNanos = Math.max(0, deadlineNanos - SteadyClock.nanos());
-        ResponsePart part = parts.poll(remainingNanos / NANOS_PER_MILLI + 1, TimeUnit.MILLISECONDS);
+        ResponsePart part = parts.poll(remainingMillis(deadlineNanos), TimeUnit.MILLISECONDS);
         if (part == null)
         {
             throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT,
@@ -370,6 +396,12 @@
         return part;
     }
 
+    /** Returns the time until the deadline, rounded up to at least one millisecond. */
+    private static long remainingMillis(long deadlineNanos)
+    {
+        return Math.max(0, deadlineNanos - SteadyClock.nanos()) / NANOS_PER_MILLI + 1;
+    }
+
     private GaugehollowException closeWithFailure(ResultCode code, String message)
     {
         close();
