HttpConnectionPool: silent idle connections cost one timeout together

After the open connections to a worker, the store or the advice service had fallen silent, calls failed one after the other: each took another idle connection from the pool and waited for a timeout of its own. All three tries of a worker's start could fall on silent connections.

After a timeout the pool now closes the idle connections that have received nothing since the request that timed out was sent. Those that have answered since then stay, so that a peer that is slow on one call keeps its connections. Connections in use are left alone; one that is released without having received anything since then is closed. Nothing is closed without a timeout.

--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.TimeUnit;
@@ -45,8 +46,11 @@
     private final Channel channel;
     private final String address;
     private final BlockingDeque<ResponsePart> parts = new LinkedBlockingDeque<>();
+    private final ResponseHandler responses = new ResponseHandler(parts);
+    private long sentNanos;
     private boolean busy;
     private boolean answered;
+    private boolean timedOut;
     private String lastExchangeId;
 
     private HttpConnection(NetLoops loops, InetSocketAddress target, int timeoutMillis)
@@ -62,7 +66,7 @@
                     {
                         ch.pipeline().addLast(
                                 new HttpClientCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                                new ResponseHandler(parts));
+                                responses);
                     }
                 });
         ChannelFuture connected = bootstrap.connect(target).await();
@@ -96,6 +100,24 @@
         return channel.isActive() && !busy && parts.isEmpty();
     }
 
+    /**
+     * @param nanos a time on the clock of {@link SteadyClock#nanos}
+     * @return whether the connection was opened or has received data at or after that time
+     */
+    boolean hasReceivedSince(long nanos)
+    {
+        return responses.lastReceivedNanos() - nanos >= 0;
+    }
+
+    /**
+     * @return when the request was sent that timed out, on the clock of {@link SteadyClock#nanos};
+     *         empty if none did
+     */
+    OptionalLong timedOutRequestNanos()
+    {
+        return timedOut ? OptionalLong.of(sentNanos) : OptionalLong.empty();
+    }
+
     /** @return whether a complete response was received on this connection */
     public boolean hasAnswered()
     {
@@ -313,7 +335,7 @@
             throw closeWithFailure(ResultCode.UPSTREAM_REFUSED,
                     "the request to " + address + " was not sent before its deadline");
         }
-        throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT, "timed out sending the request to " + address);
+        throw closeWithTimeout("timed out sending the request to " + address);
     }
 
     private FullHttpRequest prepareRequest(HttpRequest request)
@@ -325,6 +347,7 @@
                     "the connection to " + address + " is closed");
         }
         busy = true;
+        sentNanos = SteadyClock.nanos();
         String uri = request.query().isEmpty() ? request.path() : request.path() + '?' + request.query();
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()), uri, Unpooled.wrappedBuffer(request.body()));
@@ -341,8 +364,7 @@
     {
         if (!written.await(remainingMillis(deadlineNanos)))
         {
-            throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT,
-                    "timed out sending the request to " + address);
+            throw closeWithTimeout("timed out sending the request to " + address);
         }
         if (!written.isSuccess())
         {
@@ -385,8 +407,7 @@
         ResponsePart part = parts.poll(remainingMillis(deadlineNanos), TimeUnit.MILLISECONDS);
         if (part == null)
         {
-            throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT,
-                    "timed out waiting for the response from " + address);
+            throw closeWithTimeout("timed out waiting for the response from " + address);
         }
         if (part instanceof ResponsePart.ConnectionLost lost)
         {
@@ -402,6 +423,12 @@
         return Math.max(0, deadlineNanos - SteadyClock.nanos()) / NANOS_PER_MILLI + 1;
     }
 
+    private GaugehollowException closeWithTimeout(String message)
+    {
+        timedOut = true;
+        return closeWithFailure(ResultCode.UPSTREAM_TIMEOUT, message);
+    }
+
     private GaugehollowException closeWithFailure(ResultCode code, String message)
     {
         close();
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnectionPool.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnectionPool.java
@@ -7,14 +7,21 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 
-/** A pool of idle connections to one server. Thread-safe. */
+/**
+ * A pool of idle connections to one server. After a request has timed out, it gives out only
+ * connections that have received data since that request was sent: a fault that silences one
+ * connection without closing it is likely to have silenced the others. Thread-safe.
+ */
 public final class HttpConnectionPool implements AutoCloseable
 {
     private final NetLoops loops;
     private final InetSocketAddress target;
     private final int maxIdle;
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
+    /** When the latest request that timed out was sent. */
+    private OptionalLong timedOutRequestNanos = OptionalLong.empty();
     private boolean closed;
 
     /**
@@ -50,14 +57,16 @@
     }
 
     /**
-     * Returns a connection to the pool, or closes it if it cannot be reused.
+     * Returns a connection to the pool, or closes it if it cannot be reused. If its request timed out,
+     * idle connections that may be silent as well are closed.
      *
      * @param connection the connection
      * @param reusable whether the connection may carry another request
      */
     public synchronized void release(HttpConnection connection, boolean reusable)
     {
-        if (reusable && !closed && connection.isReusable() && idle.size() < maxIdle)
+        connection.timedOutRequestNanos().ifPresent(this::closeSilentSince);
+        if (reusable && !closed && isUsable(connection) && idle.size() < maxIdle)
         {
             idle.push(connection);
         }
@@ -67,16 +76,41 @@
         }
     }
 
+    private void closeSilentSince(long sentNanos)
+    {
+        if (timedOutRequestNanos.isEmpty() || sentNanos - timedOutRequestNanos.getAsLong() > 0)
+        {
+            timedOutRequestNanos = OptionalLong.of(sentNanos);
+        }
+        idle.removeIf(this::closeIfUnusable);
+    }
+
+    private boolean closeIfUnusable(HttpConnection connection)
+    {
+        boolean unusable = !isUsable(connection);
+        if (unusable)
+        {
+            connection.close();
+        }
+        return unusable;
+    }
+
+    private boolean isUsable(HttpConnection connection)
+    {
+        boolean trusted = timedOutRequestNanos.isEmpty()
+                || connection.hasReceivedSince(timedOutRequestNanos.getAsLong());
+        return trusted && connection.isReusable();
+    }
+
     private synchronized HttpConnection takeIdle()
     {
         while (!idle.isEmpty())
         {
             HttpConnection connection = idle.pop();
-            if (connection.isReusable())
+            if (!closeIfUnusable(connection))
             {
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/net/ResponseHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/ResponseHandler.java
@@ -6,6 +6,8 @@
 
 import java.util.Queue;
 
+import org.gaugehollow.time.SteadyClock;
+
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -18,15 +20,29 @@
 final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject>
 {
     private final Queue<ResponsePart> parts;
+    private volatile long lastReceivedNanos = SteadyClock.nanos();
 
     ResponseHandler(Queue<ResponsePart> parts)
     {
         this.parts = parts;
     }
 
+    /** Returns when the connection was opened or last received data, on {@link SteadyClock#nanos}. */
+    long lastReceivedNanos()
+    {
+        return lastReceivedNanos;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx)
+    {
+        lastReceivedNanos = SteadyClock.nanos();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
     {
+        lastReceivedNanos = SteadyClock.nanos();
         if (message instanceof HttpResponse response)
         {
             parts.add(new ResponsePart.Head(response));
