HttpServer: close connections whose caller takes no data

A caller that stopped reading, or whose connection had fallen silent, held its request in flight for ever once the response exceeded the socket buffers: a virtual thread, the response, and a place among the requests in flight, so that a planned stop waited until its drain deadline. Streamed responses were held in the same way.

Cause: writes to a caller were awaited without a limit.

StalledWriteHandler closes a connection whose socket takes no data of a pending response for 10 s, and records CALLER_STALLED (902). It limits the time without progress and not the whole write, so that a response to a slow caller is completed. The send buffer of a server connection is limited to 64 KiB; progress would otherwise show only every megabyte or so on a fast path. The idle timeout and this one are now parameters for tests; the idle timeout stays 75 s.

Before (without the handler), 3 of the new tests failed: SilentCallerTest.aResponseThatIsNotReadEndsItsRequest and aPlannedStopWaitsForAResponseThatIsNotReadOnlyWithinItsTimeLimit: expected: 0, but was: 1 (requests in flight after 10 s) SilentCallerTest.aStreamThatIsNotReadEnds: Timeout The tests on half-received requests and on closing the server held already. With the change all pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -107,7 +107,8 @@
     STORE_WATCH_REGAINED(803, Level.INFO, "The watch on the store is open again."),
     SETTINGS_RELOADED(804, Level.INFO, "The settings file was read again."),
     CALLER_BAD_REQUEST(900, Level.DEBUG, "A request on an HTTP port was refused as malformed."),
-    INTERNAL_FAULT(901, Level.ERROR, "An internal error; the text describes it.");
+    INTERNAL_FAULT(901, Level.ERROR, "An internal error; the text describes it."),
+    CALLER_STALLED(902, Level.INFO, "A connection was closed because its caller took no data of a response.");
 
     private final int number;
     private final Level level;
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpExchange.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpExchange.java
@@ -57,7 +57,8 @@
     }
 
     /**
-     * Sends a reply and waits until it is written or the client has disconnected.
+     * Sends a reply and waits until it is written or the connection is closed: by the client, or
+     * because the client takes no data.
      *
      * @param reply the reply
      * @throws InterruptedException if the thread is interrupted
@@ -68,7 +69,8 @@
     }
 
     /**
-     * Sends a reply and waits until it is written or the client has disconnected.
+     * Sends a reply and waits until it is written or the connection is closed: by the client, or
+     * because the client takes no data.
      *
      * @param reply the reply
      * @param close whether to close the connection afterwards
@@ -111,7 +113,8 @@
      *
      * @param json the line without its terminator
      * @throws InterruptedException if the thread is interrupted
-     * @throws GaugehollowException if the client has disconnected
+     * @throws GaugehollowException if the connection is closed: by the client, or because the client
+     *             takes no data
      */
     public void writeLine(byte[] json) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpServer.java
@@ -28,6 +28,8 @@
 public final class HttpServer implements AutoCloseable
 {
     private static final int BACKLOG = 1024;
+    /** Bounds how much a client has to read before the server observes progress. */
+    private static final int SEND_BUFFER_BYTES = 64 << 10;
 
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -47,18 +49,28 @@
      */
     public HttpServer(NetLoops loops, InetSocketAddress address, int maxBodyBytes, EventLog events,
             HttpHandler handler)
+    {
+        this(loops, address, maxBodyBytes, events, handler, HttpServerTimeouts.DEFAULT);
+    }
+
+    HttpServer(NetLoops loops, InetSocketAddress address, int maxBodyBytes, EventLog events,
+            HttpHandler handler, HttpServerTimeouts timeouts)
     {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loops.group())
                 .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInitializer<Channel>()
                 {
                     @Override
                     protected void initChannel(Channel channel)
                     {
                         connections.add(channel);
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpBodyLimit(maxBodyBytes),
-                                new HttpServerConnection(handler, events, inFlight, closing));
+                        channel.pipeline().addLast(
+                                new StalledWriteHandler(timeouts.stalledWriteMillis(), events),
+                                new HttpServerCodec(), new HttpBodyLimit(maxBodyBytes),
+                                new HttpServerConnection(handler, events, inFlight, closing,
+                                        timeouts.idleMillis()));
                     }
                 });
         listener = bind(bootstrap, address);
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpServerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpServerConnection.java
@@ -27,8 +27,6 @@
  */
 final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest>
 {
-    private static final int IDLE_SECONDS = 75;
-
     /** A queued request; the message is null if the request could not be decoded. */
     private record QueuedRequest(HttpRequest message, boolean keepAlive, String error)
     {
@@ -39,14 +37,17 @@
     private final EventLog events;
     private final AtomicInteger inFlight;
     private final AtomicBoolean closing;
+    private final long idleMillis;
     private final BlockingQueue<QueuedRequest> queue = new LinkedBlockingQueue<>();
 
-    HttpServerConnection(HttpHandler handler, EventLog events, AtomicInteger inFlight, AtomicBoolean closing)
+    HttpServerConnection(HttpHandler handler, EventLog events, AtomicInteger inFlight, AtomicBoolean closing,
+            long idleMillis)
     {
         this.handler = handler;
         this.events = events;
         this.inFlight = inFlight;
         this.closing = closing;
+        this.idleMillis = idleMillis;
     }
 
     @Override
@@ -101,7 +102,7 @@
         {
             while (channel.isActive())
             {
-                QueuedRequest received = queue.poll(IDLE_SECONDS, TimeUnit.SECONDS);
+                QueuedRequest received = queue.poll(idleMillis, TimeUnit.MILLISECONDS);
                 if (received == null || received == QueuedRequest.END)
                 {
                     break;
