--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpConnection.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.BlockingDeque;
 import java.util.concurrent.LinkedBlockingDeque;
 import java.util.concurrent.TimeUnit;
@@ -17,25 +18,19 @@
 import org.gaugehollow.time.SteadyClock;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 
 /**
@@ -48,30 +43,14 @@
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    /** Part of a response, or the loss of the connection, as queued by the event loop. */
-    private sealed interface ResponsePart
-    {
-        /** The status and headers. */
-        record Head(HttpResponse response) implements ResponsePart
-        {
-        }
-
-        /** A chunk of the body. */
-        record Chunk(byte[] bytes, boolean last) implements ResponsePart
-        {
-        }
-
-        /** The loss of the connection. */
-        record ConnectionLost(String reason) implements ResponsePart
-        {
-        }
-    }
-
     private final Channel channel;
     private final String address;
     private final BlockingDeque<ResponsePart> parts = new LinkedBlockingDeque<>();
+    private final ResponseHandler responses = new ResponseHandler(parts);
+    private long sentNanos;
     private boolean busy;
     private boolean answered;
+    private boolean timedOut;
     private String lastExchangeId;
 
     private HttpConnection(NetLoops loops, InetSocketAddress target, int timeoutMillis)
@@ -87,7 +66,7 @@
                     {
                         ch.pipeline().addLast(
                                 new HttpClientCodec(MAX_HEADER_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                                new ResponseHandler());
+                                responses);
                     }
                 });
         ChannelFuture connected = bootstrap.connect(target).await();
@@ -121,6 +100,24 @@
         return channel.isActive() && !busy && parts.isEmpty();
     }
 
+    /**
+     * @param nanos a time on the clock of {@link SteadyClock#nanos}
+     * @return whether the connection was opened or has received data at or after that time
+     */
+    boolean hasReceivedSince(long nanos)
+    {
+        return responses.lastReceivedNanos() - nanos >= 0;
+    }
+
+    /**
+     * @return when the request was sent that timed out, on the clock of {@link SteadyClock#nanos};
+     *         empty if none did
+     */
+    OptionalLong timedOutRequestNanos()
+    {
+        return timedOut ? OptionalLong.of(sentNanos) : OptionalLong.empty();
+    }
+
     /** @return whether a complete response was received on this connection */
     public boolean hasAnswered()
     {
@@ -142,7 +139,7 @@
     public HttpReply exchange(HttpRequest request, long deadlineNanos, int maxBodyBytes)
             throws InterruptedException
     {
-        send(request);
+        send(request, deadlineNanos);
         return awaitResponse(deadlineNanos, maxBodyBytes);
     }
 
@@ -150,7 +147,7 @@
      * Sends a request and waits for the complete response with an idle timeout.
      *
      * @param request the request
-     * @param idleNanos timeout for the headers and for each body chunk, in nanoseconds
+     * @param idleNanos timeout for the request, for the headers and for each body chunk, in nanoseconds
      * @param deadlineNanos overall deadline on the clock of {@link SteadyClock#nanos}
      * @param maxBodyBytes maximum size of the response body
      * @return the response
@@ -160,7 +157,7 @@
     public HttpReply exchangeWithIdleTimeout(HttpRequest request, long idleNanos, long deadlineNanos,
             int maxBodyBytes) throws InterruptedException
     {
-        send(request);
+        send(request, nextDeadline(idleNanos, deadlineNanos));
         return awaitResponse(idleNanos, deadlineNanos, maxBodyBytes);
     }
 
@@ -179,7 +176,7 @@
     public HttpReply exchangeIf(BooleanSupplier maySend, HttpRequest request, long deadlineNanos,
             int maxBodyBytes) throws InterruptedException
     {
-        sendIf(maySend, request);
+        sendIf(maySend, request, deadlineNanos);
         return awaitResponse(deadlineNanos, maxBodyBytes);
     }
 
@@ -207,8 +204,8 @@
         while (!complete)
         {
             ResponsePart.Chunk chunk = readBodyChunk(nextDeadline(idleNanos, deadlineNanos));
-            body.writeBytes(chunk.bytes);
-            complete = chunk.last;
+            body.writeBytes(chunk.bytes());
+            complete = chunk.last();
             if (body.size() > maxBodyBytes)
             {
                 throw closeWithFailure(ResultCode.ANSWER_TOO_LARGE,
@@ -251,13 +248,14 @@
      * Sends a request with a streamed response and waits for the response headers.
      *
      * @param request the request
-     * @param deadlineNanos deadline for the headers, on the clock of {@link SteadyClock#nanos}
+     * @param deadlineNanos deadline for the request and the headers, on the clock of
+     *            {@link SteadyClock#nanos}
      * @return the status and headers, with an empty body
      * @throws InterruptedException if the thread is interrupted
      */
     public HttpReply openStream(HttpRequest request, long deadlineNanos) throws InterruptedException
     {
-        send(request);
+        send(request, deadlineNanos);
         return readHead(deadlineNanos);
     }
 
@@ -276,7 +274,7 @@
             return new byte[0];
         }
         ResponsePart.Chunk chunk = readBodyChunk(deadlineNanos);
-        return chunk.last && chunk.bytes.length == 0 ? null : chunk.bytes;
+        return chunk.last() && chunk.bytes().length == 0 ? null : chunk.bytes();
     }
 
     private boolean awaitPart(long deadlineNanos) throws InterruptedException
@@ -291,22 +289,23 @@
         return true;
     }
 
-    private void send(HttpRequest request) throws InterruptedException
+    private void send(HttpRequest request, long deadlineNanos) throws InterruptedException
     {
-        awaitWritten(channel.writeAndFlush(prepareRequest(request)));
+        awaitWritten(channel.writeAndFlush(prepareRequest(request)), deadlineNanos);
     }
 
     /**
      * Evaluates the condition on the event loop, so that nothing runs between the check and the write.
      */
-    private void sendIf(BooleanSupplier maySend, HttpRequest request) throws InterruptedException
+    private void sendIf(BooleanSupplier maySend, HttpRequest request, long deadlineNanos)
+            throws InterruptedException
     {
         FullHttpRequest message = prepareRequest(request);
         Future<Optional<ChannelFuture>> submitted = channel.eventLoop()
                 .submit(() -> maySend.getAsBoolean()
                         ? Optional.of(channel.writeAndFlush(message))
-                        : Optional.<ChannelFuture>empty())
-                .await();
+                        : Optional.<ChannelFuture>empty());
+        awaitSubmitted(submitted, message, deadlineNanos);
         if (!submitted.isSuccess())
         {
             throw closeWithFailure(ResultCode.UPSTREAM_REFUSED,
@@ -319,7 +318,24 @@
             throw new GaugehollowException(ResultCode.NO_RIGHTS,
                     "requests to " + address + " are currently not allowed");
         }
-        awaitWritten(submitted.getNow().get());
+        awaitWritten(submitted.getNow().get(), deadlineNanos);
+    }
+
+    /** Waits until the event loop has taken the request; one that is cancelled first is not sent. */
+    private void awaitSubmitted(Future<?> submitted, FullHttpRequest message, long deadlineNanos)
+            throws InterruptedException
+    {
+        if (submitted.await(remainingMillis(deadlineNanos)))
+        {
+            return;
+        }
+        if (submitted.cancel(false))
+        {
+            message.release();
+            throw closeWithFailure(ResultCode.UPSTREAM_REFUSED,
+                    "the request to " + address + " was not sent before its deadline");
+        }
+        throw closeWithTimeout("timed out sending the request to " + address);
     }
 
     private FullHttpRequest prepareRequest(HttpRequest request)
@@ -331,6 +347,7 @@
                     "the connection to " + address + " is closed");
         }
         busy = true;
+        sentNanos = SteadyClock.nanos();
         String uri = request.query().isEmpty() ? request.path() : request.path() + '?' + request.query();
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()), uri, Unpooled.wrappedBuffer(request.body()));
@@ -340,9 +357,16 @@
         return message;
     }
 
-    private void awaitWritten(ChannelFuture written) throws InterruptedException
+    /**
+     * Waits until the request is written, which takes until the server reads if it exceeds the buffers.
+     */
+    private void awaitWritten(ChannelFuture written, long deadlineNanos) throws InterruptedException
     {
-        if (!written.await().isSuccess())
+        if (!written.await(remainingMillis(deadlineNanos)))
+        {
+            throw closeWithTimeout("timed out sending the request to " + address);
+        }
+        if (!written.isSuccess())
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN,
                     "the connection was lost while the request was sent");
@@ -356,7 +380,7 @@
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN, "the response has a body without headers");
         }
-        HttpResponse response = head.response;
+        HttpResponse response = head.response();
         if (response.decoderResult().isFailure())
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN, "the response is not valid HTTP");
@@ -380,21 +404,31 @@
 
     private ResponsePart nextPart(long deadlineNanos) throws InterruptedException
     {
-        long remainingNanos = Math.max(0, deadlineNanos - SteadyClock.nanos());
-        ResponsePart part = parts.poll(remainingNanos / NANOS_PER_MILLI + 1, TimeUnit.MILLISECONDS);
+        ResponsePart part = parts.poll(remainingMillis(deadlineNanos), TimeUnit.MILLISECONDS);
         if (part == null)
         {
-            throw closeWithFailure(ResultCode.UPSTREAM_TIMEOUT,
-                    "timed out waiting for the response from " + address);
+            throw closeWithTimeout("timed out waiting for the response from " + address);
         }
         if (part instanceof ResponsePart.ConnectionLost lost)
         {
             throw closeWithFailure(ResultCode.OUTCOME_UNKNOWN,
-                    "the connection to " + address + " was lost: " + lost.reason);
+                    "the connection to " + address + " was lost: " + lost.reason());
         }
         return part;
     }
 
+    /** Returns the time until the deadline, rounded up to at least one millisecond. */
+    private static long remainingMillis(long deadlineNanos)
+    {
+        return Math.max(0, deadlineNanos - SteadyClock.nanos()) / NANOS_PER_MILLI + 1;
+    }
+
+    private GaugehollowException closeWithTimeout(String message)
+    {
+        timedOut = true;
+        return closeWithFailure(ResultCode.UPSTREAM_TIMEOUT, message);
+    }
+
     private GaugehollowException closeWithFailure(ResultCode code, String message)
     {
         close();
@@ -408,43 +442,4 @@
         // channelInactive wakes a thread that waits for the next part
         ChannelFuture unused = channel.close();
     }
-
-    /** Queues response parts for the waiting thread. */
-    private final class ResponseHandler extends SimpleChannelInboundHandler<HttpObject>
-    {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
-        {
-            if (message instanceof HttpResponse response)
-            {
-                parts.add(new ResponsePart.Head(response));
-            }
-            if (message instanceof HttpContent content)
-            {
-                boolean last = content instanceof LastHttpContent;
-                if (content.decoderResult().isFailure())
-                {
-                    parts.add(new ResponsePart.ConnectionLost("the response body is not valid HTTP"));
-                }
-                else
-                {
-                    parts.add(new ResponsePart.Chunk(ByteBufUtil.getBytes(content.content()), last));
-                }
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx)
-        {
-            parts.add(new ResponsePart.ConnectionLost("closed"));
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
-        {
-            parts.add(new ResponsePart.ConnectionLost(String.valueOf(cause.getMessage())));
-            ctx.close().addListener(
-                    closed -> parts.add(new ResponsePart.ConnectionLost("closed after an error")));
-        }
-    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -57,7 +57,8 @@
             protected void initChannel(Channel channel)
             {
                 channel.pipeline().addLast(
-                        new IdleStateHandler(0, 0, timing.linkIdleMillis(), TimeUnit.MILLISECONDS), keepAlive);
+                        new IdleStateHandler(0, 0, timing.linkIdleMillis(), TimeUnit.MILLISECONDS),
+                        keepAlive);
                 PeerCodec.addTo(channel.pipeline());
                 channel.pipeline().addLast(new ReplyReceiver());
             }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -199,8 +199,7 @@
         }
     }
 
-    private void endRequest(Step step, StepAdvice advice, List<TrackedWorker> workers,
-            Optional<Advice> reply)
+    private void endRequest(Step step, StepAdvice advice, List<TrackedWorker> workers, Optional<Advice> reply)
     {
         AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
         synchronized (cellState)
--- a/gaugehollow/src/test/java/org/gaugehollow/peer/PeerCallTimeoutTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/peer/PeerCallTimeoutTest.java
@@ -50,8 +50,8 @@
                 PeerLink link = new PeerLink(loops, (InetSocketAddress) listener.getLocalSocketAddress(),
                         events, new Metrics()))
         {
-            Frame.Builder call = Frame.newBuilder()
-                    .setRelay(RelayCall.newBuilder().setBody(ByteString.copyFrom(new byte[LARGE_BODY_BYTES])));
+            Frame.Builder call = Frame.newBuilder().setRelay(
+                    RelayCall.newBuilder().setBody(ByteString.copyFrom(new byte[LARGE_BODY_BYTES])));
             GaugehollowException failure = assertTimeoutPreemptively(MAX_CALL_TIME,
                     () -> assertThrows(GaugehollowException.class, () -> link.call(call, 500)));
             assertThat(failure.code()).isEqualTo(ResultCode.PEER_LOST);
