--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitClassifierTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitClassifierTest.java
@@ -315,7 +315,7 @@
     void startIsNotAnsweredUntilTheTaskRuns()
     {
         Task task = place();
-        task.markSent();
+        task.markSent(SteadyClock.nanos());
         assertThat(reasonOfPlaced(task, true)).hasValue(WaitReason.START_UNANSWERED);
         task.onStartAnswered(SteadyClock.nanos());
         assertThat(reasonOfPlaced(task, true)).isEmpty();
