Owner probe: repeat it over a new connection before the owner counts as unresponsive

Cause: one probe without a reply made the owner unresponsive, whatever the state of the connection. Change: a probe without a reply is sent once more; the link has replaced a silent connection by then. Each has 300 ms besides the time that the owner holds it, in place of 450 ms for the one. Ways weighed: a probe over a new connection after 150 ms beside the first one (no later detection, but a slow owner is probed twice each time); a longer time for the one probe (does not help, the connection stays silent). Cost: an owner that stands still is suspected 150 ms later, within a second as before. Test: PeerOwnerProbeTest.livingOwnerIsReachedAfterItsConnectionsGoSilent failed before (expected to be true), passes now; ownerThatNeverAnswersIsNotReached bounds the detection.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
@@ -16,7 +16,7 @@
 /** Probes registered boxes for the state of the owner, and answers such probes. */
 final class PeerOwnerProbe implements OwnerProbe
 {
-    private static final int NETWORK_MARGIN_MILLIS = 450;
+    private static final int NETWORK_MARGIN_MILLIS = 300;
 
     private final BoxRegistry registry;
 
@@ -31,8 +31,18 @@
         return registry.peers();
     }
 
+    /**
+     * Probes a box. A probe without a reply is repeated once, over a new connection if the first one
+     * may have gone silent, because a living owner must not be replaced for a lost connection.
+     */
     @Override
     public Result probe(String box, String owner, int waitMillis) throws InterruptedException
+    {
+        Result result = probeOnce(box, owner, waitMillis);
+        return result.reached() ? result : probeOnce(box, owner, 0);
+    }
+
+    private Result probeOnce(String box, String owner, int waitMillis) throws InterruptedException
     {
         OwnerCall.Builder call = OwnerCall.newBuilder().setOwner(owner).setWaitMillis(waitMillis);
         return registry.call(box, Frame.newBuilder().setOwner(call), waitMillis + NETWORK_MARGIN_MILLIS)
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerOwnerProbeTest.java
@@ -0,0 +1,96 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.box;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.Json;
+import org.gaugehollow.net.NetAddress;
+import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.PeerDirectory;
+import org.gaugehollow.peer.PeerServer;
+import org.gaugehollow.peer.SilencingRelay;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.peer.generated.PeerProtocol.OwnerReply;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.schedule.AdviceDispatcher;
+import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.worker.Advice;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against replacing a living owner, and against keeping a dead one. */
+class PeerOwnerProbeTest
+{
+    private static final String OWNER = "owner~1";
+    private static final int HOLD_MILLIS = 250;
+    /** A dead owner is suspected within a second. */
+    private static final long DETECTION_MILLIS = 1_000;
+
+    private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+    private final NetLoops loops = new NetLoops(Optional.empty());
+    private final PeerDirectory directory = new PeerDirectory(loops, events, new Metrics());
+    private final BoxRegistry registry = new BoxRegistry("self", new BoxRegistry.Entry("127.0.0.1:2", 700),
+            new FakeStore(), directory,
+            new AdviceDispatcher((step, workers, timeout) -> new Advice(List.of(), 0), events), events);
+    private final PeerOwnerProbe probe = new PeerOwnerProbe(registry);
+
+    @AfterEach
+    void close()
+    {
+        directory.close();
+        loops.close();
+    }
+
+    private void register(InetSocketAddress address)
+    {
+        BoxRegistry.Entry entry = new BoxRegistry.Entry(NetAddress.format(address), 700);
+        registry.onPut(JobKeys.BOXES + OWNER, Json.write(entry), 1);
+    }
+
+    private static Frame.Builder answerAsOwner(Frame call) throws InterruptedException
+    {
+        Thread.sleep(call.getOwner().getWaitMillis());
+        return Frame.newBuilder().setOwnerReply(OwnerReply.newBuilder().setIsOwner(true));
+    }
+
+    @Test
+    void livingOwnerIsReachedAfterItsConnectionsGoSilent() throws Exception
+    {
+        try (PeerServer server = new PeerServer(loops, new InetSocketAddress("127.0.0.1", 0), events,
+                PeerOwnerProbeTest::answerAsOwner);
+                SilencingRelay relay = new SilencingRelay(server.address()))
+        {
+            register(relay.address());
+            assertThat(probe.probe(OWNER, OWNER, HOLD_MILLIS).owner()).isTrue();
+            relay.silenceOpenConnections();
+            assertThat(probe.probe(OWNER, OWNER, HOLD_MILLIS).owner()).isTrue();
+        }
+    }
+
+    @Test
+    void ownerThatNeverAnswersIsNotReached() throws Exception
+    {
+        try (ServerSocket listener = new ServerSocket(0, 0, InetAddress.getByName("127.0.0.1")))
+        {
+            register((InetSocketAddress) listener.getLocalSocketAddress());
+            long startNanos = SteadyClock.nanos();
+            assertThat(probe.probe(OWNER, OWNER, HOLD_MILLIS).reached()).isFalse();
+            long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - startNanos);
+            assertThat(elapsedMillis).isLessThan(DETECTION_MILLIS);
+        }
+    }
+}
--- a/gaugehollow/src/test/java/org/gaugehollow/peer/SilencingRelay.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/peer/SilencingRelay.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Relays TCP connections and can silence or close the open ones while new ones work. */
-final class SilencingRelay implements AutoCloseable
+public final class SilencingRelay implements AutoCloseable
 {
     private static final int BUFFER_BYTES = 16 << 10;
 
@@ -42,13 +42,13 @@
         }
     }
 
-    SilencingRelay(InetSocketAddress target) throws IOException
+    public SilencingRelay(InetSocketAddress target) throws IOException
     {
         this.target = target;
         Thread.ofVirtual().start(this::acceptUntilClosed);
     }
 
-    InetSocketAddress address()
+    public InetSocketAddress address()
     {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
@@ -66,7 +66,7 @@
     }
 
     /** Discards all further data of the open connections without closing them. */
-    void silenceOpenConnections()
+    public void silenceOpenConnections()
     {
         silencedHops.addAll(hops);
     }
