PeerLink: the timeout of a call covers connecting and sending

Callers saw: a call to a box whose connection takes no more data never ended, whatever its timeout, since its reply was waited for only after the frame was written. A connection attempt came on top of the timeout (up to 500 ms). Cause: PeerLink.call waited for the write without a limit, and for the connection outside of the timeout. The calls of all connections of a link shared one map, so that a closed connection failed the calls of a newer one too. Change: one end time for connection, write and reply. A write that fails ends its call at once, a write that does not end leaves the call to its timeout. PeerConnection holds the calls of one connection; a call that comes to a connection just closed goes to a new one once, since it was certainly not sent.

--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -0,0 +1,147 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.NetAddress;
+import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+
+/** A connection to a peer with the calls that wait for a reply on it. Thread-safe. */
+final class PeerConnection
+{
+    private final InetSocketAddress target;
+    private final Map<Long, CompletableFuture<Frame>> pendingCalls = new HashMap<>();
+    private final ChannelFuture opening;
+    private boolean draining;
+
+    /** Starts to open a connection. */
+    PeerConnection(Bootstrap bootstrap, InetSocketAddress target)
+    {
+        this.target = target;
+        this.opening = bootstrap.handler(new ChannelInitializer<Channel>()
+        {
+            @Override
+            protected void initChannel(Channel channel)
+            {
+                PeerCodec.addTo(channel.pipeline());
+                channel.pipeline().addLast(new ReplyReceiver());
+            }
+        }).connect(target);
+    }
+
+    /** Returns whether the connection is open, or may be soon, and accepts calls. */
+    synchronized boolean isUsable()
+    {
+        return !draining && (!opening.isDone() || opening.channel().isActive());
+    }
+
+    /**
+     * Waits until the connection is open.
+     *
+     * @throws GaugehollowException {@code PEER_UNREACHABLE} if it is not open in time
+     */
+    void awaitOpen(long timeoutNanos) throws InterruptedException
+    {
+        if (!opening.await(timeoutNanos, TimeUnit.NANOSECONDS))
+        {
+            throw new GaugehollowException(ResultCode.PEER_UNREACHABLE,
+                    "not connected in time to " + NetAddress.format(target));
+        }
+        if (!opening.isSuccess())
+        {
+            throw new GaugehollowException(ResultCode.PEER_UNREACHABLE,
+                    "cannot reach " + NetAddress.format(target), opening.cause());
+        }
+    }
+
+    /** Adds a pending call; returns false if the connection accepts no further calls. */
+    synchronized boolean add(long callId, CompletableFuture<Frame> reply)
+    {
+        if (draining)
+        {
+            return false;
+        }
+        pendingCalls.put(callId, reply);
+        return true;
+    }
+
+    /** Sends a pending call without waiting. */
+    void send(Frame call, CompletableFuture<Frame> reply)
+    {
+        opening.channel().writeAndFlush(call).addListener(written ->
+        {
+            if (!written.isSuccess())
+            {
+                reply.completeExceptionally(new GaugehollowException(ResultCode.PEER_LOST,
+                        "the connection was lost while sending a call", written.cause()));
+            }
+        });
+    }
+
+    /** Removes a call that has ended. */
+    synchronized void remove(long callId)
+    {
+        pendingCalls.remove(callId);
+    }
+
+    /** Closes the connection, which fails its pending calls, and waits until it is closed. */
+    void close()
+    {
+        opening.channel().close().awaitUninterruptibly();
+    }
+
+    private synchronized void complete(Frame reply)
+    {
+        CompletableFuture<Frame> pending = pendingCalls.remove(reply.getCallId());
+        if (pending != null)
+        {
+            pending.complete(reply);
+        }
+    }
+
+    private synchronized void failPendingCalls()
+    {
+        draining = true;
+        GaugehollowException lost = new GaugehollowException(ResultCode.PEER_LOST, "the connection was lost");
+        pendingCalls.values().forEach(pending -> pending.completeExceptionally(lost));
+        pendingCalls.clear();
+    }
+
+    /** Completes the pending call of each reply and drops replies without a pending call. */
+    private final class ReplyReceiver extends SimpleChannelInboundHandler<Frame>
+    {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, Frame reply)
+        {
+            complete(reply);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx)
+        {
+            failPendingCalls();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
+        {
+            ctx.close();
+        }
+    }
+}
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
@@ -5,9 +5,7 @@
 package org.gaugehollow.peer;
 
 import java.net.InetSocketAddress;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -20,26 +18,22 @@
 import org.gaugehollow.net.NetAddress;
 import org.gaugehollow.net.NetLoops;
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
+import org.gaugehollow.time.SteadyClock;
 
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
 
 /** Sends calls to one peer over a single connection that is opened on demand. Thread-safe. */
 public final class PeerLink implements AutoCloseable
 {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int MAX_CONNECTION_ATTEMPTS = 2;
 
     private final NetLoops loops;
     private final InetSocketAddress target;
     private final EventLog events;
     private final Metrics metrics;
     private final AtomicLong lastCallId = new AtomicLong();
-    private final Map<Long, CompletableFuture<Frame>> pendingCalls = new ConcurrentHashMap<>();
-    private ChannelFuture connection;
+    private PeerConnection connection;
     private boolean closed;
 
     /**
@@ -60,7 +54,8 @@
      * Calls the peer and waits for its reply.
      *
      * @param call the call
-     * @param timeoutMillis the maximum time to wait for the reply in milliseconds
+     * @param timeoutMillis the maximum time to connect, send the call and receive the reply in
+     *            milliseconds
      * @return the reply
      * @throws InterruptedException if the process stops
      * @throws GaugehollowException {@code PEER_UNREACHABLE} if the call was certainly not sent,
@@ -68,29 +63,30 @@
      */
     public Frame call(Frame.Builder call, long timeoutMillis) throws InterruptedException
     {
-        Channel channel = awaitConnection();
+        long endNanos = SteadyClock.nanos() + TimeUnit.MILLISECONDS.toNanos(Math.max(1, timeoutMillis));
         long id = lastCallId.incrementAndGet();
         CompletableFuture<Frame> reply = new CompletableFuture<>();
-        pendingCalls.put(id, reply);
+        PeerConnection callConnection = awaitConnection(id, reply, endNanos);
         try
         {
             Frame frame = call.setCallId(id).setHybridTime(events.clock().next()).build();
             metrics.peerBytes().labelValues(frame.getBodyCase().name()).inc(frame.getSerializedSize());
-            if (!channel.writeAndFlush(frame).await().isSuccess())
-            {
-                throw new GaugehollowException(ResultCode.PEER_LOST,
-                        "the connection was lost while sending a call");
-            }
-            return checkReply(reply.get(Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS));
+            callConnection.send(frame, reply);
+            return checkReply(reply.get(endNanos - SteadyClock.nanos(), TimeUnit.NANOSECONDS));
         }
-        catch (TimeoutException | ExecutionException e)
+        catch (TimeoutException e)
         {
             throw new GaugehollowException(ResultCode.PEER_LOST, "no reply from " + NetAddress.format(target),
                     e);
         }
+        catch (ExecutionException e)
+        {
+            throw new GaugehollowException(ResultCode.PEER_LOST,
+                    "no reply from " + NetAddress.format(target) + ": " + e.getCause().getMessage(), e);
+        }
         finally
         {
-            pendingCalls.remove(id);
+            callConnection.remove(id);
         }
     }
 
@@ -105,53 +101,46 @@
         return reply;
     }
 
-    /** Waits for the connection. Concurrent calls share one connection attempt. */
-    private Channel awaitConnection() throws InterruptedException
+    /**
+     * Waits for an open connection and adds the call to it. Concurrent calls share one connection
+     * attempt. The second attempt replaces a connection that was closed before it took the call.
+     */
+    private PeerConnection awaitConnection(long callId, CompletableFuture<Frame> reply, long endNanos)
+            throws InterruptedException
     {
-        ChannelFuture future = openConnection().await();
-        if (!future.isSuccess())
+        for (int i = 0; i < MAX_CONNECTION_ATTEMPTS; i++)
         {
-            throw new GaugehollowException(ResultCode.PEER_UNREACHABLE,
-                    "cannot reach " + NetAddress.format(target), future.cause());
+            PeerConnection candidate = currentConnection();
+            candidate.awaitOpen(endNanos - SteadyClock.nanos());
+            if (candidate.add(callId, reply))
+            {
+                return candidate;
+            }
         }
-        return future.channel();
+        throw new GaugehollowException(ResultCode.PEER_UNREACHABLE,
+                NetAddress.format(target) + " closes its connections");
     }
 
-    private synchronized ChannelFuture openConnection()
+    private synchronized PeerConnection currentConnection()
     {
         if (closed)
         {
             throw new GaugehollowException(ResultCode.PEER_UNREACHABLE, "the link is closed");
         }
-        boolean usable = connection != null && (!connection.isDone() || connection.channel().isActive());
-        if (!usable)
+        if (connection == null || !connection.isUsable())
         {
-            connection = connect();
+            connection = new PeerConnection(loops.newClientBootstrap().option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS), target);
         }
         return connection;
     }
 
-    private ChannelFuture connect()
-    {
-        return loops.newClientBootstrap().option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new ChannelInitializer<Channel>()
-                {
-                    @Override
-                    protected void initChannel(Channel ch)
-                    {
-                        PeerCodec.addTo(ch.pipeline());
-                        ch.pipeline().addLast(new ReplyReceiver());
-                    }
-                }).connect(target);
-    }
-
     /** Closes the connection, so that the next call opens a new one. */
     public synchronized void reset()
     {
         if (connection != null)
         {
-            connection.channel().close().awaitUninterruptibly();
+            connection.close();
         }
     }
 
@@ -161,32 +150,4 @@
         closed = true;
         reset();
     }
-
-    /** Completes the pending call of each reply and drops replies without a pending call. */
-    private final class ReplyReceiver extends SimpleChannelInboundHandler<Frame>
-    {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, Frame reply)
-        {
-            CompletableFuture<Frame> pending = pendingCalls.remove(reply.getCallId());
-            if (pending != null)
-            {
-                pending.complete(reply);
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx)
-        {
-            GaugehollowException lost = new GaugehollowException(ResultCode.PEER_LOST,
-                    "the connection was lost");
-            pendingCalls.values().forEach(pending -> pending.completeExceptionally(lost));
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
-        {
-            ctx.close().addListener(done -> channelInactive(ctx));
-        }
-    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/peer/PeerLinkTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/peer/PeerLinkTest.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.peer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -90,6 +91,33 @@
         }
     }
 
+    /** Guards against calls that wait for a connection longer than their timeout. */
+    @Test
+    void timeoutOfCallIncludesConnecting() throws Exception
+    {
+        NetLoops loops = new NetLoops(Optional.empty());
+        EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+        List<Socket> sockets = new ArrayList<>();
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                PeerLink link = new PeerLink(loops, (InetSocketAddress) listener.getLocalSocketAddress(),
+                        events, new Metrics()))
+        {
+            sockets.addAll(fillBacklog(listener));
+            GaugehollowException failure = assertThrows(GaugehollowException.class,
+                    () -> link.call(Frame.newBuilder().setStore(StoreCall.getDefaultInstance()), 50));
+            assertThat(failure.code()).isEqualTo(ResultCode.PEER_UNREACHABLE);
+            assertThat(failure).hasMessageThat().contains("not connected in time");
+        }
+        finally
+        {
+            for (Socket socket : sockets)
+            {
+                socket.close();
+            }
+            loops.close();
+        }
+    }
+
     private static void call(PeerLink link, AtomicInteger unreachable)
     {
         try
