PeerLink: replace silent connections

Callers saw: after the connection to a peer had gone silent, without a reset, each further call to that peer failed for good, while a new connection would have worked. Cause: a link kept its one connection after calls on it had timed out; only PeerMonitor reset it, which the boxes of a cell don't have. Change: in the link, for both kinds of box. A call that times out and has received nothing on its connection since it was sent makes the link use a new connection; calls in flight stay on the old one, which is closed after the last of them (three such at most). While calls are pending, a connection without received data for 500 ms gets an empty frame with call id 0, which PeerServer echoes on its event loop; after four successive checks without data it is closed and its calls fail with PEER_LOST, "the connection is silent". Checks are counted, so a pause of the box itself is not silence. The frame needs no change of the protocol: a box of an earlier version answers it with an error reply, which is received data. Idle connections are not checked. New event E703 PEER_SILENT. Tests: SilentPeerTest.

--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -99,6 +99,7 @@
     PEER_CONNECTED(700, Level.INFO, "A peer answers."),
     PEER_LOST(701, Level.WARN, "A peer does not answer."),
     PEER_BAD_CALL(702, Level.WARN, "A peer's call was malformed."),
+    PEER_SILENT(703, Level.WARN, "A connection to a peer carried no data and was replaced or closed."),
 
     STORE_WATCH_LOST(800, Level.WARN, "The watch on the store was lost and is reopened."),
     ROSTER_CHANGED(801, Level.INFO, "The platform's list of workers changed."),
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.NetAddress;
@@ -26,19 +28,33 @@
 final class PeerConnection
 {
     private final InetSocketAddress target;
+    private final EventLog events;
+    private final KeepAliveHandler keepAlive;
     private final Map<Long, CompletableFuture<Frame>> pendingCalls = new HashMap<>();
     private final ChannelFuture opening;
+    /** Whether the connection accepts no further calls and is closed when the last one has ended. */
     private boolean draining;
+    private String lossReason = "the connection was lost";
 
-    /** Starts to open a connection. */
-    PeerConnection(Bootstrap bootstrap, InetSocketAddress target)
+    /**
+     * Starts to open a connection.
+     *
+     * @param bootstrap the bootstrap without a handler
+     * @param target the address of the peer
+     * @param timing the time limits
+     * @param events records that the connection is silent
+     */
+    PeerConnection(Bootstrap bootstrap, InetSocketAddress target, PeerTiming timing, EventLog events)
     {
         this.target = target;
+        this.events = events;
+        this.keepAlive = new KeepAliveHandler(timing, this::hasPendingCalls, this::closeSilent);
         this.opening = bootstrap.handler(new ChannelInitializer<Channel>()
         {
             @Override
             protected void initChannel(Channel channel)
             {
+                channel.pipeline().addLast(keepAlive);
                 PeerCodec.addTo(channel.pipeline());
                 channel.pipeline().addLast(new ReplyReceiver());
             }
@@ -51,6 +67,18 @@
         return !draining && (!opening.isDone() || opening.channel().isActive());
     }
 
+    /** Returns whether the connection has been closed. */
+    boolean isClosed()
+    {
+        return !opening.channel().isOpen();
+    }
+
+    /** Returns how often data has been received. */
+    long receivedCount()
+    {
+        return keepAlive.receivedCount();
+    }
+
     /**
      * Waits until the connection is open.
      *
@@ -98,6 +126,38 @@
     synchronized void remove(long callId)
     {
         pendingCalls.remove(callId);
+        closeIfDrained();
+    }
+
+    /** Accepts no further calls and closes the connection when the pending ones have ended. */
+    synchronized void drain()
+    {
+        draining = true;
+        closeIfDrained();
+    }
+
+    private void closeIfDrained()
+    {
+        if (draining && pendingCalls.isEmpty())
+        {
+            opening.channel().close();
+        }
+    }
+
+    private synchronized boolean hasPendingCalls()
+    {
+        return !pendingCalls.isEmpty();
+    }
+
+    /** Closes the connection on its event loop after nothing has been received for too long. */
+    private void closeSilent()
+    {
+        synchronized (this)
+        {
+            lossReason = "the connection is silent";
+        }
+        events.record(EventType.PEER_SILENT, NetAddress.format(target), "closed: nothing was received");
+        opening.channel().close();
     }
 
     /** Closes the connection, which fails its pending calls, and waits until it is closed. */
@@ -118,7 +178,7 @@
     private synchronized void failPendingCalls()
     {
         draining = true;
-        GaugehollowException lost = new GaugehollowException(ResultCode.PEER_LOST, "the connection was lost");
+        GaugehollowException lost = new GaugehollowException(ResultCode.PEER_LOST, lossReason);
         pendingCalls.values().forEach(pending -> pending.completeExceptionally(lost));
         pendingCalls.clear();
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
@@ -5,6 +5,8 @@
 package org.gaugehollow.peer;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
@@ -22,17 +25,24 @@
 
 import io.netty.channel.ChannelOption;
 
-/** Sends calls to one peer over a single connection that is opened on demand. Thread-safe. */
+/**
+ * Sends calls to one peer over a connection that is opened on demand. A connection that may have
+ * gone silent is replaced. Thread-safe.
+ */
 public final class PeerLink implements AutoCloseable
 {
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_CONNECTION_ATTEMPTS = 2;
+    private static final int MAX_RETIRED_CONNECTIONS = 3;
 
     private final NetLoops loops;
     private final InetSocketAddress target;
     private final EventLog events;
     private final Metrics metrics;
     private final AtomicLong lastCallId = new AtomicLong();
+    private final PeerTiming timing;
+    /** Replaced connections that still have pending calls. */
+    private final List<PeerConnection> retiredConnections = new ArrayList<>();
     private PeerConnection connection;
     private boolean closed;
 
@@ -43,11 +53,17 @@
      * @param metrics the metrics for sent bytes
      */
     public PeerLink(NetLoops loops, InetSocketAddress target, EventLog events, Metrics metrics)
+    {
+        this(loops, target, events, metrics, PeerTiming.DEFAULT);
+    }
+
+    PeerLink(NetLoops loops, InetSocketAddress target, EventLog events, Metrics metrics, PeerTiming timing)
     {
         this.loops = loops;
         this.target = target;
         this.events = events;
         this.metrics = metrics;
+        this.timing = timing;
     }
 
     /**
@@ -63,19 +79,27 @@
      */
     public Frame call(Frame.Builder call, long timeoutMillis) throws InterruptedException
     {
-        long endNanos = SteadyClock.nanos() + TimeUnit.MILLISECONDS.toNanos(Math.max(1, timeoutMillis));
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(1, timeoutMillis));
+        long endNanos = SteadyClock.nanos() + timeoutNanos;
         long id = lastCallId.incrementAndGet();
         CompletableFuture<Frame> reply = new CompletableFuture<>();
         PeerConnection callConnection = awaitConnection(id, reply, endNanos);
+        long waitNanos = endNanos - SteadyClock.nanos();
+        long receivedBefore = callConnection.receivedCount();
         try
         {
             Frame frame = call.setCallId(id).setHybridTime(events.clock().next()).build();
             metrics.peerBytes().labelValues(frame.getBodyCase().name()).inc(frame.getSerializedSize());
             callConnection.send(frame, reply);
-            return checkReply(reply.get(endNanos - SteadyClock.nanos(), TimeUnit.NANOSECONDS));
+            return checkReply(reply.get(waitNanos, TimeUnit.NANOSECONDS));
         }
         catch (TimeoutException e)
         {
+            boolean spentOnConnecting = waitNanos < timeoutNanos / 2;
+            if (!spentOnConnecting && callConnection.receivedCount() == receivedBefore)
+            {
+                retire(callConnection);
+            }
             throw new GaugehollowException(ResultCode.PEER_LOST, "no reply from " + NetAddress.format(target),
                     e);
         }
@@ -129,12 +153,32 @@
         }
         if (connection == null || !connection.isUsable())
         {
-            connection = new PeerConnection(loops.newClientBootstrap().option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS), target);
+            connection = new PeerConnection(
+                    loops.newClientBootstrap().option(ChannelOption.TCP_NODELAY, true)
+                            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS),
+                    target, timing, events);
         }
         return connection;
     }
 
+    /**
+     * Replaces a connection that may be silent. Its pending calls continue, because the peer may only
+     * be slow. With the maximum number of retired connections in use, it is replaced when it has been
+     * found silent.
+     */
+    private synchronized void retire(PeerConnection suspect)
+    {
+        retiredConnections.removeIf(PeerConnection::isClosed);
+        if (connection == suspect && retiredConnections.size() < MAX_RETIRED_CONNECTIONS)
+        {
+            connection = null;
+            retiredConnections.add(suspect);
+            suspect.drain();
+            events.record(EventType.PEER_SILENT, NetAddress.format(target),
+                    "replaced: a call timed out and nothing was received");
+        }
+    }
+
     /** Closes the connection, so that the next call opens a new one. */
     public synchronized void reset()
     {
@@ -149,5 +193,6 @@
     {
         closed = true;
         reset();
+        retiredConnections.forEach(PeerConnection::close);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -136,12 +136,20 @@
         return Frame.newBuilder().setError(error);
     }
 
-    /** Starts a virtual thread for each call. */
+    /**
+     * Starts a virtual thread for each call. Keep-alive frames are answered at once, so that a peer
+     * with slow calls counts as alive.
+     */
     private final class CallReceiver extends SimpleChannelInboundHandler<Frame>
     {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Frame call)
         {
+            if (KeepAliveHandler.isKeepAlive(call))
+            {
+                KeepAliveHandler.answer(ctx);
+                return;
+            }
             if (!openCalls.tryAcquire())
             {
                 send(ctx.channel(), call, errorOf(ResultCode.QUEUE_FULL, "too many open calls"));
