Peer connections: close idle ones, and those that take no replies

Operators saw nothing of it yet; by reading, a box kept each accepted connection open for ever that had gone silent on the other side: a descriptor each, and replies queued for it without limit. Cause: PeerServer had no time limit for reading or writing. Change: the called side closes a connection without received data for 60 s, unless it is handling a call of it, and one that has not taken a reply within 10 s. The calling side closes a connection without traffic and pending calls after 30 s, first, so that no call is sent on a connection that is being closed; the next call opens a new one. Tests: IdlePeerConnectionTest. Before, serverClosesConnectionWithoutCalls, serverClosesConnectionThatTakesNoReplies and linkClosesIdleConnectionAndOpensAnotherForTheNextCall failed with "execution timed out after 10000 ms". The tests with slow calls guard the change itself; an idle time of 200 ms was too short for one of them on the busy machine (1 of 6 runs failed, closed before its first call arrived), with 1 s 6 of 6 runs passed.

--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -23,6 +23,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 
 /** A connection to a peer with the calls that wait for a reply on it. Thread-safe. */
 final class PeerConnection
@@ -54,7 +56,9 @@
             @Override
             protected void initChannel(Channel channel)
             {
-                channel.pipeline().addLast(keepAlive);
+                channel.pipeline().addLast(
+                        new IdleStateHandler(0, 0, timing.linkIdleMillis(), TimeUnit.MILLISECONDS),
+                        keepAlive);
                 PeerCodec.addTo(channel.pipeline());
                 channel.pipeline().addLast(new ReplyReceiver());
             }
@@ -144,6 +148,14 @@
         }
     }
 
+    private synchronized void closeIfIdle()
+    {
+        if (pendingCalls.isEmpty())
+        {
+            drain();
+        }
+    }
+
     private synchronized boolean hasPendingCalls()
     {
         return !pendingCalls.isEmpty();
@@ -192,6 +204,15 @@
             complete(reply);
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event)
+        {
+            if (event instanceof IdleStateEvent)
+            {
+                closeIfIdle();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -6,6 +6,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -22,10 +24,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.handler.timeout.WriteTimeoutException;
+import io.netty.handler.timeout.WriteTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
 /** Accepts connections from peers and answers their calls. */
@@ -50,6 +57,12 @@
      *             bound
      */
     public PeerServer(NetLoops loops, InetSocketAddress address, EventLog events, PeerHandler handler)
+    {
+        this(loops, address, events, handler, PeerTiming.DEFAULT);
+    }
+
+    PeerServer(NetLoops loops, InetSocketAddress address, EventLog events, PeerHandler handler,
+            PeerTiming timing)
     {
         this.handler = handler;
         this.events = events;
@@ -61,6 +74,7 @@
                     protected void initChannel(Channel channel)
                     {
                         connections.add(channel);
+                        addTimeLimits(channel.pipeline(), timing);
                         PeerCodec.addTo(channel.pipeline());
                         channel.pipeline().addLast(new CallReceiver());
                     }
@@ -74,6 +88,12 @@
         listener = binding.channel();
     }
 
+    private static void addTimeLimits(ChannelPipeline pipeline, PeerTiming timing)
+    {
+        pipeline.addLast(new IdleStateHandler(timing.serverIdleMillis(), 0, 0, TimeUnit.MILLISECONDS),
+                new WriteTimeoutHandler(timing.writeMillis(), TimeUnit.MILLISECONDS));
+    }
+
     /** @return the bound address, with the actual port */
     public InetSocketAddress address()
     {
@@ -142,6 +162,8 @@
      */
     private final class CallReceiver extends SimpleChannelInboundHandler<Frame>
     {
+        private final AtomicInteger callsInProgress = new AtomicInteger();
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, Frame call)
         {
@@ -155,12 +177,39 @@
                 send(ctx.channel(), call, errorOf(ResultCode.QUEUE_FULL, "too many open calls"));
                 return;
             }
-            Thread.ofVirtual().name("peer-call").start(() -> handleCall(ctx.channel(), call));
+            callsInProgress.incrementAndGet();
+            Thread.ofVirtual().name("peer-call").start(() -> handle(ctx.channel(), call));
+        }
+
+        private void handle(Channel channel, Frame call)
+        {
+            try
+            {
+                handleCall(channel, call);
+            }
+            finally
+            {
+                callsInProgress.decrementAndGet();
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event)
+        {
+            if (event instanceof IdleStateEvent && callsInProgress.get() == 0)
+            {
+                ctx.close();
+            }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
         {
+            if (cause instanceof WriteTimeoutException)
+            {
+                // the connection is being closed, and each reply that was not sent is recorded
+                return;
+            }
             events.record(EventType.PEER_BAD_CALL, String.valueOf(ctx.channel().remoteAddress()),
                     String.valueOf(cause.getMessage()).lines().findFirst().orElse(""));
             ctx.close().addListener(closed -> connections.remove(ctx.channel()));
--- a/gaugehollow/src/test/java/org/gaugehollow/peer/SilentPeerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/peer/SilentPeerTest.java
@@ -45,10 +45,12 @@
 class SilentPeerTest
 {
     private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
-    private static final PeerTiming FAST_CHECKS = new PeerTiming(50, 4);
-    private static final PeerTiming NO_CHECKS = new PeerTiming(60_000, 4);
     private static final int SHORT_MILLIS = 200;
     private static final int LONG_MILLIS = 20_000;
+    private static final PeerTiming FAST_CHECKS = new PeerTiming(50, 4, LONG_MILLIS, LONG_MILLIS,
+            LONG_MILLIS);
+    private static final PeerTiming NO_CHECKS = new PeerTiming(LONG_MILLIS, 4, LONG_MILLIS, LONG_MILLIS,
+            LONG_MILLIS);
     private static final String SLOW = "slow";
 
     private final NetLoops loops = new NetLoops(Optional.empty());
