AdviceDispatcher: a long call that failed on a peer may use the owner's own channel

Callers saw: tasks that could run were not started for 20 s and more, while the owner wrote ADVICE_MISSING for one peer after the other. Cause: a long call was given to the peers' channels alone as long as any was listed, so four attempts ended on four peers although the owner's own channel worked; and after its backoff of 1 s the peer that had failed came first again, in the order of the list. Change: a call that has failed once may use the own channel, which is asked first then. A peer whose last call failed is used only if no other channel is free, and a call that succeeds on it ends that. Long calls keep off the own channel at their first attempt, so urgent calls don't wait behind them while the peers work. Tests: AdviceDispatcherTest. Before, longCallThatFailedOnPeerUsesOwnChannel and peerWhoseLastCallFailedIsUsedIfNoOtherIsFree "expected to have value ... but was empty"; peerWhoseLastCallFailedIsUsedAfterTheOthers "unexpected (1): bad". longCallsDoNotUseOwnChannelWhilePeersWork passes with and without.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
@@ -23,7 +23,7 @@
  * Dispatches calls to the advice service over the channels of the boxes. The service handles the
  * calls of one box one at a time, so each channel carries one call and the others are queued by
  * priority. The channel of the owner is reserved for short calls, so that urgent work does not wait
- * behind a long one.
+ * behind a long one, and for long calls that have failed on another channel.
  */
 public final class AdviceDispatcher
 {
@@ -41,12 +41,24 @@
      * @param expectedMillis expected duration in milliseconds
      * @param priority 0 is the most urgent
      * @param rank rank among calls of the same priority, lowest first
+     * @param isRetry whether the call has failed on a channel
      */
-    record Call(String step, List<String> workers, double expectedMillis, int priority, long rank)
+    record Call(String step, List<String> workers, double expectedMillis, int priority, long rank,
+            boolean isRetry)
     {
-        boolean isShort()
+        Call(String step, List<String> workers, double expectedMillis, int priority, long rank)
         {
-            return expectedMillis <= MAX_SHORT_CALL_MILLIS;
+            this(step, workers, expectedMillis, priority, rank, false);
+        }
+
+        Call retry()
+        {
+            return new Call(step, workers, expectedMillis, priority, rank, true);
+        }
+
+        boolean mayUseOwnChannel()
+        {
+            return expectedMillis <= MAX_SHORT_CALL_MILLIS || isRetry;
         }
     }
 
@@ -56,6 +68,7 @@
         private final AdvicePort port;
         private final boolean isOwn;
         private boolean busy;
+        private boolean lastCallFailed;
         private long unusableUntilNanos = SteadyClock.nanos();
 
         Channel(AdvicePort port, boolean isOwn)
@@ -66,9 +79,15 @@
 
         boolean isFree(Call call, int channelCount)
         {
-            boolean isAllowed = !isOwn || call.isShort() || channelCount == 1;
+            boolean isAllowed = !isOwn || call.mayUseOwnChannel() || channelCount == 1;
             return isAllowed && !busy && SteadyClock.nanos() - unusableUntilNanos >= 0;
         }
+
+        /** Returns whether the channel is used only if no other one is free. */
+        boolean isLastChoice()
+        {
+            return lastCallFailed && !isOwn;
+        }
     }
 
     private final Map<String, Channel> channels = new LinkedHashMap<>();
@@ -103,8 +122,8 @@
     }
 
     /**
-     * Waits for a channel and sends the call. After a failure the channel is not used for a while and
-     * the call is repeated on another one.
+     * Waits for a channel and sends the call. After a failure the channel is not used for a while, and
+     * then only if no other one is free; the call is repeated on another one, which may be the owner's.
      *
      * @param call the call to send
      * @param isWanted whether the advice is still needed, evaluated when a channel is available
@@ -113,9 +132,10 @@
      */
     Optional<Advice> advise(Call call, BooleanSupplier isWanted) throws InterruptedException
     {
+        Call attempt = call;
         for (int i = 0; i < MAX_ATTEMPTS; i++)
         {
-            Channel channel = acquire(call);
+            Channel channel = acquire(attempt);
             try
             {
                 if (!isWanted.getAsBoolean())
@@ -123,12 +143,15 @@
                     return Optional.empty();
                 }
                 int timeoutMillis = (int) (call.expectedMillis() * 2) + TIMEOUT_SLACK_MILLIS;
-                return Optional.of(channel.port.advise(call.step(), call.workers(), timeoutMillis));
+                Advice advice = channel.port.advise(call.step(), call.workers(), timeoutMillis);
+                markWorking(channel);
+                return Optional.of(advice);
             }
             catch (GaugehollowException e)
             {
                 events.record(EventType.ADVICE_MISSING, call.step(), e.getMessage());
                 markFaulty(channel);
+                attempt = call.retry();
             }
             finally
             {
@@ -161,16 +184,23 @@
         }
     }
 
+    /** Returns the first free channel whose last call succeeded, else the first free one, or null. */
     private Channel findFreeChannel(Call call)
     {
+        Channel lastChoice = null;
         for (Channel channel : channels.values())
         {
-            if (channel.isFree(call, channels.size()))
+            if (!channel.isFree(call, channels.size()))
+            {
+                continue;
+            }
+            if (!channel.isLastChoice())
             {
                 return channel;
             }
+            lastChoice = lastChoice == null ? channel : lastChoice;
         }
-        return null;
+        return lastChoice;
     }
 
     private boolean hasPrecedingCall(Call call, Channel channel)
@@ -191,8 +221,14 @@
         notifyAll();
     }
 
+    private synchronized void markWorking(Channel channel)
+    {
+        channel.lastCallFailed = false;
+    }
+
     private synchronized void markFaulty(Channel channel)
     {
+        channel.lastCallFailed = true;
         channel.unusableUntilNanos = SteadyClock.nanos() + FAULT_BACKOFF_MILLIS * NANOS_PER_MILLI;
     }
 }
