PeerMonitor: a failed ping does not close the connection

Callers saw: PEER_LOST (outcome unknown) for requests that a peer was still working on, when it answered one ping late. Cause: PeerMonitor reset the link after each failed ping, which failed all calls in flight. Change: the reset is gone, and PeerLink.reset with it. The link replaces a connection on which nothing was received and closes one that stays silent, so the reset had become needless; calls in flight to a peer that is gone fail after 2 s without received data. Tests: failedPingsLeaveCallsInFlightAlone failed before with "no reply from 127.0.0.1:43741: the connection was lost", and passes now. AtMostOnceTest, EndToEndTest, FaultScheduleTest, HallCutTest, NotRunTest, OwnershipTest and StopTest passed once beside load of about 30 on 8 processors.

--- a/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/PeerMonitor.java
@@ -216,7 +216,6 @@
         catch (GaugehollowException e)
         {
             view.onFailure();
-            link.reset();
             if (wasReachable)
             {
                 events.record(EventType.PEER_LOST, box, e.getMessage());
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
@@ -179,20 +179,14 @@
         }
     }
 
-    /** Closes the connection, so that the next call opens a new one. */
-    public synchronized void reset()
+    @Override
+    public synchronized void close()
     {
+        closed = true;
         if (connection != null)
         {
             connection.close();
         }
-    }
-
-    @Override
-    public synchronized void close()
-    {
-        closed = true;
-        reset();
         retiredConnections.forEach(PeerConnection::close);
     }
 }
