--- a/gaugehollow/src/main/java/org/gaugehollow/peer/KeepAliveHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/KeepAliveHandler.java
@@ -10,10 +10,8 @@
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.util.concurrent.Future;
 
 /**
  * Detects a connection that carries no more data although it is open. While calls are pending, it
@@ -57,7 +55,7 @@
     /** Answers a keep-alive. */
     static void answer(ChannelHandlerContext ctx)
     {
-        ChannelFuture unused = ctx.writeAndFlush(KEEP_ALIVE);
+        ctx.writeAndFlush(KEEP_ALIVE);
     }
 
     /** Returns how often data has been received. */
@@ -78,7 +76,7 @@
     public void write(ChannelHandlerContext ctx, Object data, ChannelPromise promise)
     {
         scheduleCheck(ctx);
-        ChannelFuture unused = ctx.write(data, promise);
+        ctx.write(data, promise);
     }
 
     private void scheduleCheck(ChannelHandlerContext ctx)
@@ -86,8 +84,7 @@
         if (!checking)
         {
             checking = true;
-            Future<?> unused = ctx.executor().schedule(() -> check(ctx), timing.checkMillis(),
-                    TimeUnit.MILLISECONDS);
+            ctx.executor().schedule(() -> check(ctx), timing.checkMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -116,7 +113,7 @@
         scheduleCheck(ctx);
         if (silentChecks > 0)
         {
-            ChannelFuture unused = ctx.channel().writeAndFlush(KEEP_ALIVE);
+            ctx.channel().writeAndFlush(KEEP_ALIVE);
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -144,7 +144,7 @@
     {
         if (draining && pendingCalls.isEmpty())
         {
-            ChannelFuture unused = opening.channel().close();
+            opening.channel().close();
         }
     }
 
@@ -169,7 +169,7 @@
             lossReason = "the connection is silent";
         }
         events.record(EventType.PEER_SILENT, NetAddress.format(target), "closed: nothing was received");
-        ChannelFuture unused = opening.channel().close();
+        opening.channel().close();
     }
 
     /** Closes the connection, which fails its pending calls, and waits until it is closed. */
@@ -222,7 +222,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
         {
-            ChannelFuture unused = ctx.close();
+            ctx.close();
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -198,7 +198,7 @@
         {
             if (event instanceof IdleStateEvent && callsInProgress.get() == 0)
             {
-                ChannelFuture unused = ctx.close();
+                ctx.close();
             }
         }
 
