--- a/gaugehollow/src/test/java/org/gaugehollow/platform/KeyFollowerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/KeyFollowerTest.java
@@ -30,6 +30,8 @@
     private final BlockingQueue<String> delivered = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> listings = new LinkedBlockingQueue<>();
     private final AtomicInteger deliveriesToFail = new AtomicInteger();
+    /** The key whose deliveries all fail, or null. */
+    private volatile String keyToFail;
 
     /** Records the delivered keys. */
     private final class Recorder implements KeyFollower.Listener
@@ -37,6 +39,10 @@
         @Override
         public void onPut(String key, byte[] value, long revision)
         {
+            if (key.equals(keyToFail))
+            {
+                throw new IllegalStateException("unexpected");
+            }
             if (deliveriesToFail.getAndUpdate(count -> Math.max(0, count - 1)) > 0)
             {
                 throw new IllegalStateException("unexpected");
@@ -76,6 +82,18 @@
         assertThat(keys).containsExactly(PREFIX + "a", PREFIX + "b").inOrder();
     }
 
+    /** Guards against one change that the listener always fails on and that holds up all later ones. */
+    @Test
+    void changesAfterOneThatAlwaysFailsAreDelivered() throws InterruptedException
+    {
+        supervisor.start("follower", new KeyFollower(store, PREFIX, new Recorder(), events));
+        assertThat(listings.poll(3, TimeUnit.SECONDS)).isNotNull();
+        keyToFail = PREFIX + "bad";
+        store.commit(new StoreTransaction().put(PREFIX + "bad", VALUE));
+        store.commit(new StoreTransaction().put(PREFIX + "good", VALUE));
+        assertThat(delivered.poll(15, TimeUnit.SECONDS)).isEqualTo(PREFIX + "good");
+    }
+
     @Test
     void eachChangeIsDeliveredOnceWhileTheListenerSucceeds() throws InterruptedException
     {
