Waits: a worker that never answered has no last heartbeat

What callers saw: in lines E528 of a new owner 'last heartbeat ms ago' for workers that were cut off before its term.

Cause: the text for workers that this owner has never reached was used only until their first missed heartbeat; after it the time 0 was taken for the last heartbeat.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
@@ -45,6 +45,7 @@
     private long unresponsiveSinceNanos = RESPONSIVE;
     private boolean connectionLost;
     private long listedNanos;
+    private boolean hasAnswered;
     private long lastHeartbeatNanos;
     private long clockMillis;
     private long clockUpdatedNanos;
@@ -222,6 +223,7 @@
     {
         leaseHeld = true;
         leaving = leaving || entry == null;
+        hasAnswered = true;
         lastHeartbeatNanos = nowNanos;
         unresponsiveSinceNanos = RESPONSIVE;
     }
@@ -275,7 +277,13 @@
         return leaseHeld && unresponsiveSinceNanos == RESPONSIVE;
     }
 
-    /** Returns the monotonic time of the last answered heartbeat. */
+    /** Returns whether the worker has answered a heartbeat of this owner. */
+    boolean hasAnswered()
+    {
+        return hasAnswered;
+    }
+
+    /** Returns the monotonic time of the last answered heartbeat, 0 if there is none. */
     long lastHeartbeatNanos()
     {
         return lastHeartbeatNanos;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
@@ -236,7 +236,7 @@
 
     private static String describeContact(TrackedWorker worker, long nowNanos)
     {
-        if (!worker.isLeaseHeld() && !worker.isUnresponsive())
+        if (!worker.hasAnswered())
         {
             return "it has not answered this owner";
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitClassifierTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitClassifierTest.java
@@ -344,6 +344,21 @@
                 "run 1 on w1 is RUNNING, last heartbeat \\d+ ms ago, its lease ends in \\d+ ms");
     }
 
+    /** Guards against a time of contact with a worker that this owner has never reached. */
+    @Test
+    void workerOfTheRunHasNeverAnswered()
+    {
+        Task task = place();
+        TrackedWorker unreached = cellState.updateWorker(TestJobs.worker("w2", WORKER_CPU));
+        task.release();
+        task.assign(unreached, 2, SteadyClock.nanos());
+        task.markSent(SteadyClock.nanos());
+        unreached.recordMissedHeartbeat(SteadyClock.nanos(), false);
+        assertThat(reasonOfPlaced(task, true)).hasValue(WaitReason.RUN_UNCERTAIN);
+        assertThat(WaitClassifier.describePlaced(task, SteadyClock.nanos()))
+                .contains("it has not answered this owner");
+    }
+
     /** Guards against trusting a worker whose heartbeat call never returns. */
     @Test
     void heartbeatOfTheWorkerDoesNotReturn()
