--- a/gaugehollow-standin/src/main/java/org/gaugehollow/standin/PlatformStandin.java
+++ b/gaugehollow-standin/src/main/java/org/gaugehollow/standin/PlatformStandin.java
@@ -42,6 +42,7 @@
  */
 public final class PlatformStandin implements AutoCloseable
 {
+    /** The platform's budget is some hundred writes and about two thousand reads per second. */
     private static final int WRITES_PER_SECOND = 500;
     private static final int READS_PER_SECOND = 2_000;
     private static final int MAX_VALUE_BYTES = 1 << 20;
--- a/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/CallerRelay.java
@@ -31,6 +31,7 @@
  */
 final class CallerRelay implements HttpHandler
 {
+    /** Time for which a peer that did not help is skipped. */
     private static final long PEER_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int MAX_PEERS = 2;
 
--- a/gaugehollow/src/main/java/org/gaugehollow/box/ConfigProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/ConfigProbe.java
@@ -14,8 +14,9 @@
 /**
  * Polls the configuration during a store outage and until one read has succeeded after it. Until
  * then the cached configuration may be stale, because other calls can succeed before the watch
- * delivers the changes made during the outage. Reads run concurrently, since a read sent during the
- * outage may never be answered.
+ * delivers the changes made during the outage; a box that uses it could accept an API key that was
+ * removed during the outage. Reads run concurrently, since a read sent during the outage may never
+ * be answered.
  */
 final class ConfigProbe implements SupervisedTask, BooleanSupplier
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/event/BoundedPrintStream.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/BoundedPrintStream.java
@@ -18,7 +18,7 @@
  */
 public final class BoundedPrintStream extends PrintStream
 {
-    /** Maximum number of buffered lines. */
+    /** Maximum number of buffered lines; a quarter of a megabyte at about 120 bytes per line. */
     static final int CAPACITY = 2048;
 
     private static final long MAX_FLUSH_MILLIS = 200;
--- a/gaugehollow/src/main/java/org/gaugehollow/membership/TakeoverGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/membership/TakeoverGuard.java
@@ -54,7 +54,10 @@
         this.events = events;
     }
 
-    /** Discards all observations, since the store did not answer. */
+    /**
+     * Discards all observations, since the store did not answer. It is then unknown which boxes are
+     * missing, and since when.
+     */
     void reset()
     {
         missingBoxes.clear();
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/EngineLimits.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/EngineLimits.java
@@ -13,7 +13,8 @@
  *
  * @param waiting maximum number of waiting tasks of each class; a default applies to absent classes
  * @param waitingInAll maximum number of waiting tasks; beyond it, less urgent tasks are shed
- * @param batchShare maximum share of all slots that batch tasks may use, 0 to 1
+ * @param batchShare maximum share of all slots that batch tasks may use, 0 to 1; the rest stays
+ *            available to urgent tasks
  */
 public record EngineLimits(Map<TaskClass, Integer> waiting, int waitingInAll, double batchShare)
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/PackingFirstScore.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/PackingFirstScore.java
@@ -18,6 +18,7 @@
 public record PackingFirstScore(double acceleratorReserve, double balanceWeight,
         double strandWeight) implements WorkerScore
 {
+    /** CPU and memory that a task needs at least in addition to each accelerator. */
     private static final int MIN_CPU_MILLIS_PER_ACCELERATOR = 4_000;
     private static final int MIN_MEMORY_MIB_PER_ACCELERATOR = 8_192;
 
--- a/gaugehollow/src/main/java/org/gaugehollow/placement/ServiceRate.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/placement/ServiceRate.java
@@ -6,7 +6,8 @@
 
 /**
  * Estimates waiting times from the intervals between releases, as an exponential moving average.
- * Intervals during which no task waits don't count. Not thread-safe: guarded by the engine's lock.
+ * Intervals during which no task waits don't count, because they don't show how fast the cell is.
+ * Not thread-safe: guarded by the engine's lock.
  */
 final class ServiceRate
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
@@ -16,7 +16,8 @@
  * Selects the workers for an advice call. Workers with free capacity come first, in an order
  * specific to the step so that concurrent calls spread over different workers. The number is
  * limited to what the waiting tasks are expected to need, because long calls would delay steps
- * beyond their objective.
+ * beyond their objective. In a busy cell, in which few workers have free capacity, most of the
+ * reply to a call for arbitrary workers would also be useless.
  */
 final class AdviceCandidates
 {
@@ -24,7 +25,10 @@
     private static final int MIN_WORKERS = 30;
     /** Maximum number of workers per call that the service accepts. */
     private static final int MAX_WORKERS = 100;
-    /** Assumed share of workers without known advice that may run a step. */
+    /**
+     * Assumed share of workers without known advice that may run a step. A cautious estimate: a low
+     * value includes more workers in a call.
+     */
     private static final double EXPECTED_ALLOWED_SHARE = 0.35;
     /** Factor that accounts for other steps starting on the same workers in the meantime. */
     private static final double CONTENTION_FACTOR = 1.5;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -21,7 +21,9 @@
  * <p>
  * A crash ends all runs of a worker, although only one of them caused it. Runs that had just
  * started become suspects. Each suspect is then run in isolation: nothing else starts on its worker
- * until it has survived its start, so that another crash can be attributed to one task.
+ * until it has survived its start, so that another crash can be attributed to one task. Without
+ * this, a poison task would crash one worker after another, and tasks that start beside it would be
+ * failed for its crashes.
  * <p>
  * Not thread-safe; guarded by the lock of the cell state.
  */
@@ -29,7 +31,7 @@
 {
     /**
      * Number of crashes that confirms a poison task if no other run had just started at the last of
-     * them. A single crash may be the fault of the worker.
+     * them. A single crash may be the fault of the worker; the users specify two.
      */
     static final int ISOLATED_CRASH_THRESHOLD = 2;
     /**
@@ -39,10 +41,14 @@
     static final int ATTRIBUTED_CRASH_THRESHOLD = 3;
     /**
      * Number of crashes that confirms a poison task if some of them are unproven or explained by
-     * another task.
+     * another task. Two further starts are acceptable after the third crash, which leaves room for one
+     * that no owner learns of.
      */
     static final int TOTAL_CRASH_THRESHOLD = 4;
-    /** Run time after which a run has survived its start. */
+    /**
+     * Run time after which a run has survived its start. Poison tasks crash their workers within 10 ms.
+     * Heartbeats to a worker with an isolated suspect wait at most 500 ms.
+     */
     static final long STARTUP_MILLIS = 250;
     /** Observed run time after which the crash history of a task is cleared. */
     static final long CLEAR_AFTER_MILLIS = 10_000;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -28,8 +28,8 @@
 
 /**
  * Records in the store which workers are unresponsive and when their leases expire at the latest.
- * After a change of owner, the new owner waits only until these leases have expired instead of the
- * maximum lease time.
+ * After a change of owner, the new owner waits only until these leases have expired. Without the
+ * record it would wait for the maximum lease time, about 14.5 s, for each unreachable worker.
  * <p>
  * The lease of a recorded worker is not renewed from the start of the write until the store has
  * removed the worker from the record. The record is valid for the term that wrote it and for the
@@ -39,12 +39,13 @@
 {
     /**
      * Time without an answer after which a worker is recorded. Long enough for a heartbeat over a new
-     * connection where only a connection was lost.
+     * connection where only a connection was lost; that takes a retry delay of 0.15 s and a round trip.
      */
     private static final long MIN_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(1);
     /**
      * Maximum time since the store confirmed the term for a worker to be added. Otherwise a recovered
-     * worker could stay without a lease until the store answers again.
+     * worker could stay without a lease until the store answers again. Corresponds to three renewals of
+     * the term.
      */
     private static final long MAX_UNCONFIRMED_MILLIS = 900;
     /** Time for which a worker remains recorded after its lease has expired. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -21,7 +21,10 @@
 {
     /** Multiple of its objective after which a job no longer benefits from planning ahead of others. */
     private static final int MAX_LATE_FACTOR = 3;
-    /** Number of workers in a typical advice call, used to estimate the duration of the call. */
+    /**
+     * Number of workers in a typical advice call, used to estimate the duration of the call. The users
+     * count one call for as many workers into the critical path for each step.
+     */
     private static final int TYPICAL_ADVICE_WORKERS = 30;
     /** Factor by which the actual duration may exceed the estimates. */
     private static final double ESTIMATE_TOLERANCE = 1.5;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobReader.java
@@ -102,7 +102,8 @@
 
     /**
      * Handles the notification that a job was cancelled. Reads the cancellation if the watch does not
-     * deliver it soon.
+     * deliver it soon. Otherwise the runs of the job would continue until an interrupted watch is
+     * opened again, which takes up to 2.7 s.
      */
     void onJobCancelled(String job)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
@@ -25,7 +25,10 @@
      * delay the detection of a dead owner.
      */
     private static final int MIN_HOLD_MILLIS = 250;
-    /** Additional hold time per box, which bounds the rate of probes in large cells. */
+    /**
+     * Hold time per box in large cells. Bounds the rate of probes that the owner answers to about 100
+     * per second, regardless of the number of boxes.
+     */
     private static final int HOLD_MILLIS_PER_BOX = 10;
     private static final int RETRY_MILLIS = 50;
     /** Time at the start of a term in which the owner isn't suspected, while it restores its state. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -30,11 +30,12 @@
 
 /**
  * Runs the planner on synthetic jobs in memory while another box owns the cell, so that the JIT has
- * compiled this code before this box takes over.
+ * compiled this code before this box takes over. Otherwise compilation would delay the first start
+ * of a term.
  */
 public final class OwnerWarmup implements SupervisedTask
 {
-    /** Number of rounds after which the code is compiled. */
+    /** Number of rounds after which the code is compiled; more rounds only cost processor time. */
     private static final int ROUNDS = 10;
     private static final int JOBS = 6;
     private static final int TASKS = 8;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -22,8 +22,8 @@
 final class Preemption
 {
     /**
-     * Lifetime of a reservation; covers the stop, the report of the run's end and a refresh of the
-     * advice.
+     * Lifetime of a reservation; covers the stop, which takes up to 0.4 s, the report of the run's end
+     * and a refresh of the advice.
      */
     private static final long RESERVATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     /**
--- a/gaugehollow/src/test/java/org/gaugehollow/box/RejectedWriteTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/RejectedWriteTest.java
@@ -36,8 +36,9 @@
     private static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
     private static final JobSpec JOB = new JobSpec("text", List.of(new StepSpec(1, 1, 1, 0, 1, List.of(),
             false, false, false, null, null, 0, false, false, null, 0, false, 0)), 0, 0, 0);
+    /** Time for which a box waits for an answer of the store. */
     private static final int STORE_TIMEOUT_MILLIS = 900;
-    /** Shorter than the delay of the second attempt. */
+    /** Shorter than the delay of the second attempt, which is sent after 350 ms. */
     private static final int REJECT_AFTER_MILLIS = 200;
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CapacityChangeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CapacityChangeTest.java
@@ -34,7 +34,7 @@
     private static final int SHRUNK_CPUS = 8;
     private static final int FULL_CPUS = 16;
     private static final int MILLIS_PER_CPU = 1_000;
-    /** Long enough for two reads of the worker roster. */
+    /** Long enough for two reads of the worker roster; a start would be sent long before. */
     private static final long ROSTER_READ_MILLIS = 1_600;
     private static final long TIMEOUT_MILLIS = 4_000;
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PlannerLoadTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PlannerLoadTest.java
@@ -68,6 +68,7 @@
         return planner.plan(SteadyClock.nanos(), System.currentTimeMillis()).starts().size();
     }
 
+    /** Matching 40 waiting steps against 60 full workers would take 2,400 comparisons. */
     @Test
     void waitingStepsAreNotMatchedAgainstFullWorkers()
     {
