--- a/gaugehollow/src/main/java/org/gaugehollow/peer/KeepAliveHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/KeepAliveHandler.java
@@ -10,8 +10,10 @@
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.util.concurrent.Future;
 
 /**
  * Detects a connection that carries no more data although it is open. While calls are pending, it
@@ -55,7 +57,7 @@
     /** Answers a keep-alive. */
     static void answer(ChannelHandlerContext ctx)
     {
-        ctx.writeAndFlush(KEEP_ALIVE);
+        ChannelFuture unused = ctx.writeAndFlush(KEEP_ALIVE);
     }
 
     /** Returns how often data has been received. */
@@ -76,7 +78,7 @@
     public void write(ChannelHandlerContext ctx, Object data, ChannelPromise promise)
     {
         scheduleCheck(ctx);
-        ctx.write(data, promise);
+        ChannelFuture unused = ctx.write(data, promise);
     }
 
     private void scheduleCheck(ChannelHandlerContext ctx)
@@ -84,7 +86,8 @@
         if (!checking)
         {
             checking = true;
-            ctx.executor().schedule(() -> check(ctx), timing.checkMillis(), TimeUnit.MILLISECONDS);
+            Future<?> unused = ctx.executor().schedule(() -> check(ctx), timing.checkMillis(),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -113,7 +116,7 @@
         scheduleCheck(ctx);
         if (silentChecks > 0)
         {
-            ctx.channel().writeAndFlush(KEEP_ALIVE);
+            ChannelFuture unused = ctx.channel().writeAndFlush(KEEP_ALIVE);
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerConnection.java
@@ -144,7 +144,7 @@
     {
         if (draining && pendingCalls.isEmpty())
         {
-            opening.channel().close();
+            ChannelFuture unused = opening.channel().close();
         }
     }
 
@@ -169,7 +169,7 @@
             lossReason = "the connection is silent";
         }
         events.record(EventType.PEER_SILENT, NetAddress.format(target), "closed: nothing was received");
-        opening.channel().close();
+        ChannelFuture unused = opening.channel().close();
     }
 
     /** Closes the connection, which fails its pending calls, and waits until it is closed. */
@@ -222,7 +222,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause)
         {
-            ctx.close();
+            ChannelFuture unused = ctx.close();
         }
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -198,7 +198,7 @@
         {
             if (event instanceof IdleStateEvent && callsInProgress.get() == 0)
             {
-                ctx.close();
+                ChannelFuture unused = ctx.close();
             }
         }
 
