--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CancelledRunsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CancelledRunsTest.java
@@ -80,8 +80,7 @@
 
     private void cancel() throws InterruptedException
     {
-        platform.store()
-                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
+        platform.cancel(TestJobs.ID);
     }
 
     /** Stores the progress of an earlier owner; the worker is null if the task has no run. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakePlatform.java
@@ -13,6 +13,7 @@
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobRecord;
+import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.platform.FakeStore;
@@ -85,6 +86,20 @@
         store.commit(new StoreTransaction().put(JobKeys.job(job.id()), JobCodec.writeRecord(job)));
     }
 
+    /** Writes the cancellation of a job. */
+    void cancel(String job) throws InterruptedException
+    {
+        store.commit(new StoreTransaction().put(JobKeys.cancellation(job), new byte[]{'1'}));
+    }
+
+    /** Returns whether the stored progress of a job says that it was cancelled and has no runs left. */
+    boolean isCancelledAndFinished(String job)
+    {
+        return store.get(JobKeys.progress(job)).map(value -> JobCodec.readProgress(value.value()))
+                .filter(progress -> progress.state() == JobState.CANCELLED && progress.rounds() == null)
+                .isPresent();
+    }
+
     /** Lists a worker that was added before. */
     void list(String id) throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/HungCommandsTest.java
@@ -8,10 +8,6 @@
 
 import java.util.List;
 
-import org.gaugehollow.job.JobCodec;
-import org.gaugehollow.job.JobKeys;
-import org.gaugehollow.job.JobState;
-import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.worker.CommandResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,20 +47,6 @@
         platform.accept(TestJobs.job(TestJobs.ID, TestJobs.longRunning(1)));
     }
 
-    private void cancelJob() throws InterruptedException
-    {
-        platform.store()
-                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
-    }
-
-    private boolean isFinishedInStore()
-    {
-        return platform.fakeStore().get(JobKeys.progress(TestJobs.ID))
-                .map(value -> JobCodec.readProgress(value.value()))
-                .filter(progress -> progress.state() == JobState.CANCELLED && progress.rounds() == null)
-                .isPresent();
-    }
-
     @Test
     void taskRunsAlthoughItsStartHangs() throws InterruptedException
     {
@@ -90,9 +72,10 @@
         acceptJob();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
         worker.hangStops(1);
-        cancelJob();
+        platform.cancel(TestJobs.ID);
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
-        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> platform.isCancelledAndFinished(TestJobs.ID)))
+                .isTrue();
     }
 
     /**
@@ -104,9 +87,10 @@
         acceptJob();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
         worker.ignoreStops(1);
-        cancelJob();
+        platform.cancel(TestJobs.ID);
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.stoppedTasks().contains(TASK))).isTrue();
-        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> platform.isCancelledAndFinished(TestJobs.ID)))
+                .isTrue();
     }
 
     /** Guards against a worker that is not used for the rest of the term. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerTermTest.java
@@ -96,8 +96,7 @@
 
     private void cancelJob() throws InterruptedException
     {
-        platform.store()
-                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
+        platform.cancel(TestJobs.ID);
     }
 
     private JobState storedState()
@@ -183,7 +182,7 @@
                 .isTrue();
         platform.fakeStore().suppressWatches(true);
         acceptOtherJob();
-        platform.store().commit(new StoreTransaction().put(JobKeys.cancellation(OTHER_ID), new byte[]{'1'}));
+        platform.cancel(OTHER_ID);
         term.term().onJobWritten(OTHER_ID);
         assertThat(TestJobs.waitUntil(1_500, () -> worker.startedRuns().size() > 1)).isFalse();
         platform.fakeStore().suppressWatches(false);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SilentWorkerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SilentWorkerTest.java
@@ -8,10 +8,6 @@
 
 import java.util.List;
 
-import org.gaugehollow.job.JobCodec;
-import org.gaugehollow.job.JobKeys;
-import org.gaugehollow.job.JobState;
-import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -50,20 +46,6 @@
         platform.accept(TestJobs.job(TestJobs.ID, TestJobs.longRunning(1)));
     }
 
-    private void cancelJob() throws InterruptedException
-    {
-        platform.store()
-                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
-    }
-
-    private boolean isFinishedInStore()
-    {
-        return platform.fakeStore().get(JobKeys.progress(TestJobs.ID))
-                .map(value -> JobCodec.readProgress(value.value()))
-                .filter(progress -> progress.state() == JobState.CANCELLED && progress.rounds() == null)
-                .isPresent();
-    }
-
     private void assertRestartsOn(FakeWorker other) throws InterruptedException
     {
         assertThat(TestJobs.waitUntil(LEASE_TIMEOUT_MILLIS,
@@ -98,8 +80,10 @@
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> silent.isRunning(TASK))).isTrue();
         silent.setUnresponsive(true);
         silent.loseStops(ALL);
-        cancelJob();
-        assertThat(TestJobs.waitUntil(LEASE_TIMEOUT_MILLIS, this::isFinishedInStore)).isTrue();
+        platform.cancel(TestJobs.ID);
+        assertThat(
+                TestJobs.waitUntil(LEASE_TIMEOUT_MILLIS, () -> platform.isCancelledAndFinished(TestJobs.ID)))
+                .isTrue();
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
@@ -10,8 +10,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import org.gaugehollow.job.JobKeys;
-import org.gaugehollow.platform.StoreTransaction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -102,8 +100,7 @@
         platform.accept(TestJobs.job(TestJobs.ID, TestJobs.bestEffort()));
         assertTaskRuns();
         awaitUnconfirmed();
-        platform.store()
-                .commit(new StoreTransaction().put(JobKeys.cancellation(TestJobs.ID), new byte[]{'1'}));
+        platform.cancel(TestJobs.ID);
         Thread.sleep(UNCONFIRMED_MILLIS);
         assertThat(worker.stoppedTasks()).isEmpty();
         term.startConfirming();
