--- a/gaugehollow/src/test/java/org/gaugehollow/net/SilentServerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/net/SilentServerTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -127,13 +128,22 @@
         try (HttpConnection connection = client.openConnection(TIMEOUT_MILLIS);
                 Socket accepted = server.accept())
         {
-            accepted.getOutputStream().write(STREAM_HEAD.getBytes(StandardCharsets.US_ASCII));
+            FutureTask<Void> response = new FutureTask<>(() -> sendHeadAfterRequest(accepted));
+            Thread.ofVirtual().start(response);
             assertThat(connection.openStream(SMALL_REQUEST, deadline()).status()).isEqualTo(OK);
             assertThat(codeOfFailure(() -> connection.readChunk(deadline(), false)))
                     .isEqualTo(ResultCode.UPSTREAM_TIMEOUT);
         }
     }
 
+    /** Data that arrives before the request would close the connection. */
+    private static Void sendHeadAfterRequest(Socket accepted) throws IOException
+    {
+        accepted.getInputStream().read();
+        accepted.getOutputStream().write(STREAM_HEAD.getBytes(StandardCharsets.US_ASCII));
+        return null;
+    }
+
     /** Connection attempts get no answer while the accept queue of the server is full. */
     @Test
     void aConnectionAttemptWithoutAnAnswerTimesOut() throws IOException, InterruptedException
