--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/StallGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/StallGuard.java
@@ -6,7 +6,8 @@
 
 /**
  * Stops stalled runs so that they continue on other workers: runs without progress for some time
- * and long-running tasks that do not reach full speed after their start.
+ * and long-running tasks that do not reach full speed after their start. A gang member that has
+ * finished its work is not stalled while other members progress, since a gang ends as a whole.
  */
 final class StallGuard
 {
@@ -52,10 +53,21 @@
         {
             return false;
         }
-        long sinceProgressNanos = nowNanos - task.lastProgressNanos();
-        return task.step().spec().longRunning()
-                ? task.percent() < Task.FULL_PERCENT && sinceProgressNanos > START_TIMEOUT_NANOS
-                : sinceProgressNanos > STALL_TIMEOUT_NANOS;
+        boolean isFinished = task.percent() >= Task.FULL_PERCENT;
+        if (task.step().spec().longRunning())
+        {
+            return !isFinished && nowNanos - task.lastProgressNanos() > START_TIMEOUT_NANOS;
+        }
+        if (task.step().spec().gang() && isFinished)
+        {
+            return task.step().tasks().stream().allMatch(member -> hasNoProgress(member, nowNanos));
+        }
+        return hasNoProgress(task, nowNanos);
+    }
+
+    private static boolean hasNoProgress(Task task, long nowNanos)
+    {
+        return nowNanos - task.lastProgressNanos() > STALL_TIMEOUT_NANOS;
     }
 
     /** Stops a run, or the whole gang, since the other members could only wait. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerGuardsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerGuardsTest.java
@@ -140,6 +140,57 @@
         assertThat(new StallGuard(cellState).check(clock.get()).stops()).hasSize(2);
     }
 
+    /** A member that has done its work waits for slower members, for example on a faster worker. */
+    @Test
+    void gangIsNotStalledWhileFinishedMembersWaitForSlowerOnes()
+    {
+        cellState.accept(TestJobs.job(TestJobs.ID, TestJobs.gang(2, 100)), 1, null, 0);
+        List<Task> members = cellState.findTask(TestJobs.ID + ".0.0.0").step().tasks();
+        for (Task task : members)
+        {
+            task.assign(worker, 1, clock.get());
+            task.markRunning(clock.get());
+        }
+        StallGuard guard = new StallGuard(cellState);
+        for (int percent = 1; percent <= 10; percent++)
+        {
+            gangHeartbeat(members, percent);
+            assertThat(guard.check(clock.get()).stops()).isEmpty();
+        }
+        for (int i = 1; i <= 6; i++)
+        {
+            gangHeartbeat(members, 10);
+        }
+        assertThat(guard.check(clock.get()).stops()).hasSize(2);
+    }
+
+    /** Reports the first member as finished and the second one at the given percentage. */
+    private void gangHeartbeat(List<Task> members, int secondPercent)
+    {
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(500));
+        cellState.applyHeartbeat(worker,
+                TestJobs.heartbeatReply(List.of(new RunningRun(members.get(0).name(), 1, "", 100, 0),
+                        new RunningRun(members.get(1).name(), 1, "", secondPercent, 0)), List.of()),
+                0, clock.get());
+    }
+
+    @Test
+    void finishedGangThatDoesNotEndIsStalled()
+    {
+        cellState.accept(TestJobs.job(TestJobs.ID, TestJobs.gang(2, 100)), 1, null, 0);
+        List<Task> members = cellState.findTask(TestJobs.ID + ".0.0.0").step().tasks();
+        for (Task task : members)
+        {
+            task.assign(worker, 1, clock.get());
+            task.markRunning(clock.get());
+        }
+        for (int i = 1; i <= 8; i++)
+        {
+            gangHeartbeat(members, 100);
+        }
+        assertThat(new StallGuard(cellState).check(clock.get()).stops()).hasSize(2);
+    }
+
     @Test
     void lateJobWaitsBehindOthers()
     {
