--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -44,6 +44,7 @@
     private final CrashGuard crashGuard;
     private final RunEndHandler runEnds;
     private final JobRestoration restoration;
+    private final SpeedMonitor speeds;
     private final WeightLimiter weightLimiter = new WeightLimiter();
     /** Jobs accepted since the last planning round, which are not yet classified by weight. */
     private final List<Job> unclassifiedJobs = new ArrayList<>();
@@ -60,6 +61,7 @@
         this.retired = new RetiredJobs(nanoTime);
         this.workers = new TrackedWorkers(nanoTime, unknownLeaseNanos);
         this.crashGuard = new CrashGuard(workers);
+        this.speeds = new SpeedMonitor(workers);
         this.runEnds = new RunEndHandler(this, nanoTime);
         this.restoration = new JobRestoration(workers, crashGuard, nanoTime);
     }
@@ -425,6 +427,21 @@
         return workers;
     }
 
+    /** Returns the monitor of the workers' speeds. */
+    SpeedMonitor speeds()
+    {
+        return speeds;
+    }
+
+    /**
+     * Returns how long runs take on a worker relative to the typical worker; 1 if unknown or about
+     * typical.
+     */
+    double slowness(TrackedWorker worker)
+    {
+        return worker.speed().slowness();
+    }
+
     Collection<TrackedWorker> workers()
     {
         return workers.all();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -211,6 +211,7 @@
             expired = releaseExpiredWorkers();
             poisoned = cellState.failPoisonTasks();
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
+            cellState.speeds().check(SteadyClock.nanos());
             plan = planner.plan(SteadyClock.nanos(), System.currentTimeMillis());
             plan.needAdvice().forEach(adviceCache::request);
             scanNanos = SteadyClock.nanos();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -171,6 +171,7 @@
             stallGuard.check(now);
             slowWorkerGuard.check(now);
             unresponsiveWorkerGuard.check(now);
+            cellState.speeds().check(now);
             for (Planner.Start start : planner.plan(now, System.currentTimeMillis()).starts())
             {
                 start.task().markRunning(now);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
@@ -100,7 +100,7 @@
         CellState.completeIfAllDone(task.step().job(), effects);
     }
 
-    private static void handleSuccess(Task task, TrackedWorker worker, long nowNanos)
+    private void handleSuccess(Task task, TrackedWorker worker, long nowNanos)
     {
         worker.health().recordSuccess();
         if (task.step().spec().gang())
@@ -109,6 +109,7 @@
             return;
         }
         task.complete(nowNanos);
+        cellState.speeds().onRunEnded(task, nowNanos);
     }
 
     private void handleFailure(Task task, TrackedWorker worker, int run, Effects effects)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunObservation.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunObservation.java
@@ -104,6 +104,12 @@
         return Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos - startedNanos));
     }
 
+    /** Returns whether the recent speed is measured from a reported percentage. */
+    boolean hasEarlierSample()
+    {
+        return samplePercent > 0;
+    }
+
     /**
      * Returns the projected duration of a whole run at its recent speed, in milliseconds, or 0 if the
      * observed time is too short.
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -134,6 +134,18 @@
         return label == null || label.isEmpty() || entry.labels().contains(label);
     }
 
+    /** Returns whether the step has a preferred rack. */
+    boolean hasAffinity()
+    {
+        return spec.affinity() != null && !spec.affinity().isEmpty();
+    }
+
+    /** Returns whether the step has a preferred rack and a worker is not in it. */
+    boolean lacksAffinity(WorkerEntry entry)
+    {
+        return hasAffinity() && !entry.labels().contains(spec.affinity());
+    }
+
     /** Returns the number of tasks of the step on a worker. */
     long countOn(TrackedWorker worker)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -50,6 +50,7 @@
     private TrackedWorker worker;
     private long settledNanos = UNSETTLED;
     private final RunObservation observation = new RunObservation();
+    private final RunSpeed runSpeed = new RunSpeed(observation);
     private long runMillis;
     private int speedLimitPercent = FULL_PERCENT;
     private long speedLimitSetNanos;
@@ -88,6 +89,7 @@
         else if (recordedWorker != null)
         {
             assign(recordedWorker, run, nowNanos);
+            runSpeed.markResumed();
             mayHaveStarted = true;
             settledNanos = Long.MIN_VALUE;
             speedLimitDelivery.markUnknown();
@@ -108,6 +110,7 @@
         worker = target;
         settledNanos = UNSETTLED;
         observation.reset(nowNanos);
+        runSpeed.begin(target, checkpoint != null, step);
         speedLimitPercent = FULL_PERCENT;
         speedLimitSetNanos = nowNanos;
         speedLimitDelivery.reset();
@@ -432,6 +435,12 @@
         return runMillis;
     }
 
+    /** Returns the latest run as compared with other runs of the step. */
+    RunSpeed runSpeed()
+    {
+        return runSpeed;
+    }
+
     /** Returns the time for which heartbeats have shown the run, in milliseconds. */
     long observedMillis()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import org.gaugehollow.model.ComputeResources;
+import org.gaugehollow.speed.WorkerSpeed;
 import org.gaugehollow.worker.WorkerEntry;
 import org.gaugehollow.worker.WorkerIncarnation;
 
@@ -32,6 +33,7 @@
     private final Set<Task> tasks = new LinkedHashSet<>();
     private final List<UnresponsiveRun> abandonedRuns = new ArrayList<>();
     private final WorkerHealth health = new WorkerHealth();
+    private final WorkerSpeed speed = new WorkerSpeed();
     private WorkerEntry entry;
     private ComputeResources used = ComputeResources.NONE;
     /** Cached, since it is read often and changes rarely. */
@@ -375,6 +377,12 @@
         return health;
     }
 
+    /** Returns the estimated speed, see {@link WorkerSpeed#slowness}. */
+    WorkerSpeed speed()
+    {
+        return speed;
+    }
+
     ComputeResources used()
     {
         return used;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 
+import org.gaugehollow.speed.SpeedEstimates;
 import org.gaugehollow.worker.WorkerEntry;
 
 /**
@@ -30,6 +31,7 @@
     private final Set<String> expiringIds = new HashSet<>();
     private final Map<String, Long> recordedLeaseEnds = new HashMap<>();
     private final UnansweredStarts unansweredStarts = new UnansweredStarts();
+    private final SpeedEstimates speeds = new SpeedEstimates();
 
     /**
      * @param nanoTime a monotonic clock
@@ -76,6 +78,12 @@
                 && other.workerId().equals(worker.workerId())).toList();
     }
 
+    /** Returns the estimated speeds of the workers. */
+    SpeedEstimates speeds()
+    {
+        return speeds;
+    }
+
     /** Returns the unanswered starts. */
     UnansweredStarts unansweredStarts()
     {
@@ -90,7 +98,12 @@
     TrackedWorker update(WorkerEntry entry)
     {
         TrackedWorker worker = get(entry.incarnation().text());
+        boolean mayBeOfOtherKind = worker.entry() == null || !worker.entry().labels().equals(entry.labels());
         worker.setEntry(entry, nanoTime.getAsLong());
+        if (mayBeOfOtherKind)
+        {
+            speeds.setKind(worker.speed(), SpeedMonitor.kindOf(entry));
+        }
         return worker;
     }
 
@@ -100,6 +113,7 @@
         if (worker.isIdle())
         {
             workers.remove(worker.id());
+            speeds.remove(worker.speed());
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
@@ -49,9 +49,7 @@
         rating += task.failures() > 0 && !worker.health().isProven() ? UNPROVEN_WEIGHT : 0;
         rating += task.hasFailedOn(worker) ? UNPROVEN_WEIGHT : 0;
         rating += task.isSuspect() ? CRASH_COST_WEIGHT * crashCost(worker) : 0;
-        boolean lacksAffinity = spec.affinity() != null && !spec.affinity().isEmpty()
-                && !worker.entry().labels().contains(spec.affinity());
-        rating += lacksAffinity ? AFFINITY_WEIGHT : 0;
+        rating += task.step().lacksAffinity(worker.entry()) ? AFFINITY_WEIGHT : 0;
         rating += spec.rackLocal() && !sharesRack(task.step(), worker) ? AFFINITY_WEIGHT : 0;
         rating += interferes(spec, worker) ? INTERFERENCE_WEIGHT : 0;
         return rating;
