--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -179,6 +179,12 @@
                 "reason", () -> election.waits().tasksByLabel());
         metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
                 () -> election.waits().longestSecondsByLabel());
+        metrics.gauge("gaugehollow_worker_slowness",
+                "Duration of runs relative to the typical worker, by kind of worker.", "kind",
+                () -> election.speeds().slownessByKind());
+        metrics.gauge("gaugehollow_slow_placements",
+                "Placements in this term on workers too slow for the objective of the job.",
+                () -> election.speeds().slowPlacements());
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
@@ -13,11 +13,12 @@
 import org.gaugehollow.model.ComputeResources;
 
 /**
- * Selects the workers for an advice call. Workers with free capacity come first, in an order
- * specific to the step so that concurrent calls spread over different workers. The number is
- * limited to what the waiting tasks are expected to need, because long calls would delay steps
- * beyond their objective. In a busy cell, in which few workers have free capacity, most of the
- * reply to a call for arbitrary workers would also be useless.
+ * Selects the workers for an advice call. Workers with free capacity come first, among them those
+ * that are fast enough for the step, the slowest of these first, in an order specific to the step
+ * so that concurrent calls spread over different workers. The number is limited to what the waiting
+ * tasks are expected to need, because long calls would delay steps beyond their objective. In a
+ * busy cell, in which few workers have free capacity, most of the reply to a call for arbitrary
+ * workers would also be useless.
  */
 final class AdviceCandidates
 {
@@ -70,8 +71,10 @@
                     .add(new Candidate(worker, taskCapacity(worker), (step.name() + worker.id()).hashCode()));
         }
         candidates.sort(Comparator.comparing((Candidate candidate) -> candidate.taskCapacity() == 0)
+                .thenComparing(candidate -> step.isTooSlow(candidate.worker()))
                 .thenComparing(candidate -> !isInPreferredRack(candidate.worker()))
                 .thenComparing(candidate -> !allowedWorkers.contains(candidate.worker().id()))
+                .thenComparingDouble(candidate -> -step.speedFit().slowRank(candidate.worker().speed()))
                 .thenComparingInt(Candidate::rank));
         return selectEnough(candidates);
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -138,6 +138,36 @@
         return !openEnded && wallMillis + remainingMillis() > deadlineMillis;
     }
 
+    /** Returns whether each repetition of the job has an objective for its end. */
+    boolean hasObjective()
+    {
+        return objectiveMillis(criticalPathMillis) > 0
+                && record.job().steps().stream().noneMatch(StepSpec::longRunning);
+    }
+
+    /**
+     * Returns the time until the objective of a repetition, in milliseconds; negative if it has passed.
+     */
+    long millisToObjective(int round, long wallMillis)
+    {
+        long beginMillis = record.job().repeatCount() == 0 ? record.acceptedMillis() : dueMillis(round);
+        return beginMillis + objectiveMillis(criticalPathMillis) - wallMillis;
+    }
+
+    /** Returns the time until the end of a repetition no longer has a value, in milliseconds. */
+    long millisToUseless(int round, long wallMillis)
+    {
+        return millisToObjective(round, wallMillis)
+                + (MAX_LATE_FACTOR - 1) * objectiveMillis(criticalPathMillis);
+    }
+
+    /** Returns the estimated critical path of the steps of a repetition that are not done. */
+    long remainingMillis(int round)
+    {
+        List<Step> steps = round(round);
+        return criticalPathMillis(record.job().steps(), step -> steps.get(step).isDone());
+    }
+
     /** Returns the estimated critical path of the steps that are not done. */
     private long remainingMillis()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -467,6 +467,12 @@
         return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
     }
 
+    /** @return the speeds estimated in the current term; none if this box is not the owner */
+    public SpeedSnapshot speeds()
+    {
+        return currentTerm.map(OwnerTerm::speeds).orElse(SpeedSnapshot.EMPTY);
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -60,6 +60,7 @@
     private final Journal journal;
     private final AdviceCache adviceCache;
     private final Planner planner;
+    private final SpeedReport speedReport;
     private final QuotaMonitor quotaMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
@@ -85,6 +86,7 @@
         this.journal = new Journal(platform.store(), cellState, lease, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score);
+        this.speedReport = new SpeedReport(cellState, planner, events);
         this.quotaMonitor = new QuotaMonitor(events);
         long beginNanos = SteadyClock.nanos();
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
@@ -234,6 +236,7 @@
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
         waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
+        speedReport.report(scanNanos);
     }
 
     /** Sends the starts of each job as soon as the record of that job is written. */
@@ -446,6 +449,12 @@
         return waitMonitor.snapshot();
     }
 
+    /** Returns the estimated speeds. */
+    SpeedSnapshot speeds()
+    {
+        return speedReport.snapshot();
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -86,6 +86,7 @@
     private final Tickets tickets;
     private final WorkerRating rating;
     private final CapacityReservations reservations = new CapacityReservations();
+    private final SpeedNeeds speedNeeds;
     private final Preemption preemption = new Preemption(reservations);
     private AdviceBudget adviceBudget = AdviceBudget.NONE;
     private QuotaUsage quotaUsage;
@@ -93,12 +94,14 @@
     private ComputeResources maxFree = ComputeResources.NONE;
     /** Workers reserved for the isolated run of a suspect; no other task starts there. */
     private Set<TrackedWorker> isolationWorkers = Set.of();
+    private long slowPlacements;
 
     Planner(CellState cellState, Tickets tickets, WorkerScore score)
     {
         this.cellState = cellState;
         this.tickets = tickets;
         this.rating = new WorkerRating(score);
+        this.speedNeeds = new SpeedNeeds(cellState.speeds());
     }
 
     /** Plans as many starts as the free capacity allows. */
@@ -112,12 +115,14 @@
         maxFree = acceptingWorkers.stream().map(TrackedWorker::free).reduce(ComputeResources.NONE,
                 ComputeResources::max);
         adviceBudget = AdviceBudget.of(acceptingWorkers);
+        speedNeeds.beginRound(acceptingWorkers);
         reservations.removeExpired(nowNanos);
         preemption.beginRound(cellState, nowNanos, wallMillis);
         for (Job job : cellState.waitingByUrgency(wallMillis))
         {
             for (Step step : job.waitingSteps())
             {
+                step.setSpeedFit(speedNeeds.fit(step, wallMillis));
                 planStep(step, plan, nowNanos);
             }
         }
@@ -181,6 +186,12 @@
         return isolationWorkers.contains(worker);
     }
 
+    /** Returns the number of placements on workers that are too slow for the objective of the job. */
+    long slowPlacements()
+    {
+        return slowPlacements;
+    }
+
     private boolean waitsForQuota(Step step, Plan plan)
     {
         boolean waits = !allowsQuota(step);
@@ -302,6 +313,20 @@
         {
             return;
         }
+        List<TrackedWorker> placements = SpeedGroups.of(step, usable).stream()
+                .map(group -> chooseForGang(step, group, nowNanos)).filter(chosen -> !chosen.isEmpty())
+                .findFirst().orElse(List.of());
+        int run = step.nextGangRun();
+        String checkpoint = step.gangCheckpoint();
+        for (int i = 0; i < placements.size(); i++)
+        {
+            start(step.tasks().get(i), run, placements.get(i), checkpoint, plan, nowNanos);
+        }
+    }
+
+    /** Returns a worker for each task of a gang, or no workers if they don't have the capacity. */
+    private List<TrackedWorker> chooseForGang(Step step, List<TrackedWorker> usable, long nowNanos)
+    {
         Map<TrackedWorker, Integer> chosen = new HashMap<>();
         List<TrackedWorker> placements = new ArrayList<>();
         for (Task task : step.tasks())
@@ -309,23 +334,19 @@
             TrackedWorker best = bestWorker(task, usable, chosen, nowNanos);
             if (best == null)
             {
-                return;
+                return List.of();
             }
             chosen.merge(best, 1, Integer::sum);
             placements.add(best);
         }
-        int run = step.nextGangRun();
-        String checkpoint = step.gangCheckpoint();
-        for (int i = 0; i < placements.size(); i++)
-        {
-            start(step.tasks().get(i), run, placements.get(i), checkpoint, plan, nowNanos);
-        }
+        return placements;
     }
 
     private void start(Task task, int run, TrackedWorker worker, String checkpoint, Plan plan, long nowNanos)
     {
         task.assign(worker, run, nowNanos);
         quotaUsage.add(task.step());
+        slowPlacements += task.step().isTooSlow(worker) ? 1 : 0;
         if (task.isSuspect())
         {
             isolationWorkers.add(worker);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunSpeed.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunSpeed.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.schedule;
 
+import org.gaugehollow.speed.RunHistory;
 import org.gaugehollow.speed.WorkerSpeed;
 
 /**
@@ -16,7 +17,7 @@
     private WorkerSpeed worker;
     private boolean resumed;
     private boolean remote;
-    private boolean counted;
+    private RunHistory history = new RunHistory();
 
     RunSpeed(RunObservation observation)
     {
@@ -35,7 +36,7 @@
         worker = target.speed();
         resumed = hasCheckpoint;
         remote = target.entry() == null ? step.hasAffinity() : step.lacksAffinity(target.entry());
-        counted = false;
+        history = new RunHistory();
     }
 
     /** Marks a run whose beginning this owner has not seen. */
@@ -44,12 +45,6 @@
         resumed = true;
     }
 
-    /** Marks the run as counted for the kind of its worker. */
-    void markCounted()
-    {
-        counted = true;
-    }
-
     /** Returns the speed of the worker, or null before the first run. */
     WorkerSpeed worker()
     {
@@ -74,9 +69,9 @@
         return task.phase() == Task.Phase.RUNNING && isKnown ? task.projectedMillis() : 0;
     }
 
-    /** Returns whether the run has been counted for the kind of its worker. */
-    boolean isCounted()
+    /** Returns what earlier observations of the run have shown. */
+    RunHistory history()
     {
-        return counted;
+        return history;
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SlowWorkerGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SlowWorkerGuard.java
@@ -15,9 +15,9 @@
 import org.gaugehollow.job.StepSpec;
 
 /**
- * Detects workers on which runs take much longer than other tasks of the same steps on other
- * workers, and moves long runs off them. Since tasks of a step vary in duration, tasks of several
- * steps must be slow on a worker and none on time.
+ * Detects workers on which runs take much longer, for their kind, than other tasks of the same
+ * steps on other workers, and moves long runs off them. Since tasks of a step vary in duration,
+ * tasks of several steps must be slow on a worker and none on time.
  */
 final class SlowWorkerGuard
 {
@@ -88,7 +88,7 @@
      */
     private double slowdown(Task task)
     {
-        double projected = projectedMillis(task);
+        double projected = projectedMillis(task) / kindSlowness(task);
         double median = medians.computeIfAbsent(task.step(), SlowWorkerGuard::medianMillis);
         return projected == UNKNOWN || median == UNKNOWN ? UNKNOWN : projected / median;
     }
@@ -103,7 +103,7 @@
                     : projectedMillis(task);
             if (durationMillis != UNKNOWN)
             {
-                millis.add(durationMillis);
+                millis.add(durationMillis / kindSlowness(task));
             }
         }
         if (millis.size() < MIN_TASKS)
@@ -114,6 +114,12 @@
         return millis.get((millis.size() - 1) / 2);
     }
 
+    /** Returns how long runs take by the kind of the worker, which is no fault of the worker. */
+    private static double kindSlowness(Task task)
+    {
+        return task.runSpeed().worker().kindSlowness();
+    }
+
     /** Returns the duration of a whole run at its current speed, or {@link #UNKNOWN}. */
     private static double projectedMillis(Task task)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SpeedMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SpeedMonitor.java
@@ -100,19 +100,18 @@
 
     private void observe(Step step, boolean isDone, long nowNanos)
     {
-        List<Task> tasks = step.tasks().stream().filter(task -> task.runSpeed().comparableMillis(task) > 0)
-                .toList();
         List<StepRun> runs = new ArrayList<>();
-        for (Task task : tasks)
+        for (Task task : step.tasks())
         {
-            runs.add(new StepRun(task.runSpeed().worker(), task.runSpeed().comparableMillis(task),
-                    task.startedNanos(), task.phase() == Task.Phase.DONE, task.runSpeed().isCounted()));
-        }
-        EstimateBias bias = bias(step);
-        if (workers.speeds().observe(runs, step.spec().estimateMillis(), bias, isDone, nowNanos))
-        {
-            tasks.forEach(task -> task.runSpeed().markCounted());
+            RunSpeed run = task.runSpeed();
+            double millis = run.comparableMillis(task);
+            if (millis > 0)
+            {
+                runs.add(new StepRun(run.worker(), millis, task.startedNanos(),
+                        task.phase() == Task.Phase.DONE, run.history()));
+            }
         }
+        workers.speeds().observe(runs, step.spec().estimateMillis(), bias(step), isDone, nowNanos);
     }
 
     /** Returns the ratio of durations to the estimates of the step's queue. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -10,6 +10,7 @@
 import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.ComputeResources;
+import org.gaugehollow.speed.SpeedFit;
 import org.gaugehollow.worker.WorkerEntry;
 
 /**
@@ -26,6 +27,7 @@
     private final List<Task> tasks = new ArrayList<>();
     private int lastFailedGangRun;
     private int gangFailures;
+    private SpeedFit speedFit = SpeedFit.NEUTRAL;
 
     Step(Job job, int round, int number, StepSpec spec)
     {
@@ -134,6 +136,24 @@
         return label == null || label.isEmpty() || entry.labels().contains(label);
     }
 
+    /** Sets how slow a worker the step can bear in the current planning round. */
+    void setSpeedFit(SpeedFit fit)
+    {
+        speedFit = fit;
+    }
+
+    /** Returns how slow a worker the step can bear, as of its latest planning round. */
+    SpeedFit speedFit()
+    {
+        return speedFit;
+    }
+
+    /** Returns whether a run on a worker would take too long for the objective of the job. */
+    boolean isTooSlow(TrackedWorker worker)
+    {
+        return speedFit.isTooSlow(worker.speed(), lacksAffinity(worker.entry()));
+    }
+
     /** Returns whether the step has a preferred rack. */
     boolean hasAffinity()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
@@ -9,8 +9,8 @@
 import org.gaugehollow.placement.WorkerScore;
 
 /**
- * Rates workers for a task by load, health and placement preferences. One unit corresponds to a
- * fully loaded worker.
+ * Rates workers for a task by load, health, speed and placement preferences. One unit corresponds
+ * to a fully loaded worker.
  */
 final class WorkerRating
 {
@@ -49,7 +49,9 @@
         rating += task.failures() > 0 && !worker.health().isProven() ? UNPROVEN_WEIGHT : 0;
         rating += task.hasFailedOn(worker) ? UNPROVEN_WEIGHT : 0;
         rating += task.isSuspect() ? CRASH_COST_WEIGHT * crashCost(worker) : 0;
-        rating += task.step().lacksAffinity(worker.entry()) ? AFFINITY_WEIGHT : 0;
+        boolean lacksAffinity = task.step().lacksAffinity(worker.entry());
+        rating += lacksAffinity ? AFFINITY_WEIGHT : 0;
+        rating += task.step().speedFit().rating(worker.speed(), lacksAffinity);
         rating += spec.rackLocal() && !sharesRack(task.step(), worker) ? AFFINITY_WEIGHT : 0;
         rating += interferes(spec, worker) ? INTERFERENCE_WEIGHT : 0;
         return rating;
--- a/gaugehollow/src/main/java/org/gaugehollow/speed/CurrentRuns.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speed/CurrentRuns.java
@@ -88,6 +88,17 @@
         return Math.min(count, 1);
     }
 
+    /** Returns the lowest relative duration, infinity if there are no runs. */
+    double fastest()
+    {
+        double lowest = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < count; i++)
+        {
+            lowest = Math.min(lowest, logDurations[i]);
+        }
+        return lowest;
+    }
+
     double median()
     {
         return SampleWindow.median(logDurations, count);
--- a/gaugehollow/src/main/java/org/gaugehollow/speed/KindSpeed.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speed/KindSpeed.java
@@ -10,7 +10,7 @@
 public final class KindSpeed
 {
     /** Number of runs from which the estimate is used. */
-    static final int MIN_RUNS = 20;
+    static final int MIN_RUNS = 12;
     /** Relative difference from the typical worker that is ignored. */
     static final double TOLERANCE = 0.15;
     /** Number of standard errors by which a difference must exceed the tolerance. */
@@ -21,6 +21,7 @@
     private final String name;
     private final SampleWindow runs = new SampleWindow(MAX_RUNS);
     private int workerCount;
+    private int slowedDownCount;
     private double logSlowness;
     private double slowness = 1;
 
@@ -35,6 +36,27 @@
         runs.add(logDuration);
     }
 
+    /** Begins to count the workers that are slowed down. */
+    void clearSlowedDown()
+    {
+        slowedDownCount = 0;
+    }
+
+    /** Counts a worker that is slowed down. */
+    void addSlowedDown()
+    {
+        slowedDownCount++;
+    }
+
+    /**
+     * Returns whether a worker's runs show the speed of the kind. A slowdown of half of the workers is
+     * the speed of the kind, which is not known yet or has changed.
+     */
+    boolean isTypical(WorkerSpeed worker)
+    {
+        return !worker.isSlowedDown() || 2 * slowedDownCount >= workerCount;
+    }
+
     /** Returns the estimate before normalisation. */
     double rawLogSlowness()
     {
@@ -61,6 +83,12 @@
         return name;
     }
 
+    /** @return the number of runs from which the kind is estimated */
+    public int runCount()
+    {
+        return runs.size();
+    }
+
     /** @return the number of workers of the kind */
     public int workerCount()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/speed/SpeedEstimates.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speed/SpeedEstimates.java
@@ -79,14 +79,13 @@
      * @param bias the ratio of durations to the estimates of the step's queue
      * @param isDone whether the step is done; only then its ended runs count for their workers
      * @param nowNanos the monotonic time
-     * @return whether the runs were counted for the kinds of their workers
      */
-    public boolean observe(List<StepRun> runs, long estimateMillis, EstimateBias bias, boolean isDone,
+    public void observe(List<StepRun> runs, long estimateMillis, EstimateBias bias, boolean isDone,
             long nowNanos)
     {
         if (runs.isEmpty())
         {
-            return false;
+            return;
         }
         stepNumber++;
         double logEstimate = Math.log(Math.max(1, estimateMillis));
@@ -99,14 +98,12 @@
         {
             boolean areKindsMixed = areKindsMixed(runs);
             runs.forEach(run -> learn(run, run.logMillis() - logTypical, areKindsMixed, isDone, nowNanos));
-            return areKindsMixed;
         }
-        if (bias.isKnown())
+        else if (bias.isKnown())
         {
             double logExpected = logEstimate + bias.logFactor();
             runs.forEach(run -> learnKind(run, run.logMillis() - logExpected));
         }
-        return bias.isKnown();
     }
 
     private void learn(StepRun run, double logDuration, boolean areKindsMixed, boolean isDone, long nowNanos)
@@ -117,7 +114,7 @@
         }
         if (!run.hasEnded())
         {
-            run.worker().addRunning(logDuration, stepNumber, nowNanos);
+            run.worker().addRunning(logDuration, stepNumber, run.history(), nowNanos);
         }
         else if (isDone)
         {
@@ -128,9 +125,10 @@
     private static void learnKind(StepRun run, double logDuration)
     {
         KindSpeed kind = run.worker().kind();
-        if (kind != null && !run.isCounted() && !run.worker().isSlowedDown())
+        if (kind != null && !run.history().isCounted() && kind.isTypical(run.worker()))
         {
             kind.add(logDuration);
+            run.history().markCounted();
         }
     }
 
@@ -159,6 +157,8 @@
         double typical = typicalLogSlowness();
         kinds.values().forEach(kind -> kind.normalise(typical));
         workers.forEach(worker -> worker.update(nowNanos));
+        kinds.values().forEach(KindSpeed::clearSlowedDown);
+        workers.stream().filter(WorkerSpeed::isSlowedDown).forEach(worker -> worker.kind().addSlowedDown());
     }
 
     /** Returns the estimate of the kind to which the median worker belongs. */
--- a/gaugehollow/src/main/java/org/gaugehollow/speed/StepRun.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speed/StepRun.java
@@ -11,10 +11,10 @@
  * @param millis duration of the whole run, projected if it has not ended
  * @param startedNanos monotonic time of its start
  * @param hasEnded whether it has ended
- * @param isCounted whether it has been counted for the kind of its worker before
+ * @param history what earlier observations have shown
  */
 public record StepRun(WorkerSpeed worker, double millis, long startedNanos, boolean hasEnded,
-        boolean isCounted)
+        RunHistory history)
 {
     /** Returns the logarithm of the duration. */
     double logMillis()
--- a/gaugehollow/src/main/java/org/gaugehollow/speed/WorkerSpeed.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speed/WorkerSpeed.java
@@ -24,10 +24,17 @@
     private static final double MIN_LASTING_FACTOR = 1.35;
     /** Factor of a temporary slowdown that is noticed. */
     private static final double MIN_SLOWDOWN_FACTOR = 2;
-    /** Number of current runs, and of their steps, that show a temporary slowdown. */
-    private static final int MIN_CURRENT_RUNS = 2;
+    /**
+     * Number of current runs that show a temporary slowdown, if none of them is on time. Tasks that
+     * take long by themselves are few, but remain on their workers for long.
+     */
+    private static final int MIN_CURRENT_RUNS = 3;
+    /** Number of such runs if one of them was on time before. */
+    private static final int MIN_TURNED_RUNS = 2;
+    /** Number of steps to which these runs belong. */
+    private static final int MIN_CURRENT_STEPS = 2;
     /** Time for which an ended run counts as current. */
-    private static final long CURRENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long CURRENT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** Time after which a slowdown without further evidence is forgotten. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Maximum number of current runs that are kept. */
@@ -39,7 +46,9 @@
     private KindSpeed kind;
     private double logSlowness;
     private double slowness = 1;
+    private double usualLogSlowness;
     private double currentLogSlowness;
+    private boolean hasRunTurnedSlow;
     private boolean isSlowedDown;
     private boolean hasBeenSlowedDown;
     /** Time of the newest evidence of a slowdown. Only valid if there was one. */
@@ -67,12 +76,31 @@
     void clearRunning()
     {
         running.clear();
+        hasRunTurnedSlow = false;
     }
 
-    /** Adds a run in progress. */
-    void addRunning(double logDuration, long step, long nowNanos)
+    /**
+     * Adds a run in progress.
+     *
+     * @param logDuration logarithm of the run's relative duration
+     * @param step number of the step
+     * @param history what earlier observations of the run have shown
+     * @param nowNanos current monotonic time
+     */
+    void addRunning(double logDuration, long step, RunHistory history, long nowNanos)
     {
         running.add(logDuration, step, nowNanos);
+        if (!isMuchSlower(logDuration))
+        {
+            history.markOnTime();
+        }
+        hasRunTurnedSlow |= isMuchSlower(logDuration) && history.wasOnTime();
+    }
+
+    /** Returns whether a run takes much longer than usual on the worker. */
+    private boolean isMuchSlower(double logDuration)
+    {
+        return logDuration - usualLogSlowness > Math.log(MIN_SLOWDOWN_FACTOR);
     }
 
     /**
@@ -102,11 +130,13 @@
     {
         useKind();
         applyLastingDifference();
+        usualLogSlowness = logSlowness;
         justEnded.removeBefore(nowNanos - CURRENT_NANOS);
-        CurrentRuns current = areSufficient(running) ? running : CurrentRuns.union(running, justEnded);
-        if (areSufficient(current))
+        CurrentRuns current = CurrentRuns.union(running, justEnded);
+        int minRuns = hasRunTurnedSlow ? MIN_TURNED_RUNS : MIN_CURRENT_RUNS;
+        if (current.size() >= minRuns && current.stepCount() >= MIN_CURRENT_STEPS)
         {
-            applyCurrentRuns(current.median(), nowNanos);
+            applyCurrentRuns(current, nowNanos);
         }
         isSlowedDown = isSlowedDown && nowNanos - slowedDownNanos < FORGET_NANOS;
         if (isSlowedDown)
@@ -116,9 +146,9 @@
         }
     }
 
-    private void applyCurrentRuns(double logDuration, long nowNanos)
+    private void applyCurrentRuns(CurrentRuns current, long nowNanos)
     {
-        boolean isMuchSlower = logDuration - logSlowness > Math.log(MIN_SLOWDOWN_FACTOR);
+        boolean isMuchSlower = isMuchSlower(current.fastest());
         if (isMuchSlower && !isSlowedDown)
         {
             // they ended before the slowdown
@@ -127,17 +157,12 @@
         isSlowedDown = isMuchSlower;
         if (isMuchSlower)
         {
-            currentLogSlowness = logDuration;
+            currentLogSlowness = current.median();
             slowedDownNanos = nowNanos;
             hasBeenSlowedDown = true;
         }
     }
 
-    private static boolean areSufficient(CurrentRuns runs)
-    {
-        return runs.size() >= MIN_CURRENT_RUNS && runs.stepCount() >= MIN_CURRENT_RUNS;
-    }
-
     private void applyLastingDifference()
     {
         int count = endedRuns.size();
--- a/gaugehollow/src/test/java/org/gaugehollow/speed/SpeedEstimatesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/speed/SpeedEstimatesTest.java
@@ -56,7 +56,7 @@
     {
         double millis = workMillis * unevenness() * durations.get(worker);
         return new StepRun(workers.get(worker), millis,
-                nowNanos - TimeUnit.MILLISECONDS.toNanos((long) millis), hasEnded, false);
+                nowNanos - TimeUnit.MILLISECONDS.toNanos((long) millis), hasEnded, new RunHistory());
     }
 
     /** Completes steps on random workers; the work of each is off its estimate by up to a half. */
@@ -143,6 +143,20 @@
         assertSlowness(2 * WORKERS_PER_KIND, 1.7 / 0.7, 0.6);
     }
 
+    /** Workers of a slow kind look slowed down until their kind is known; that must not last. */
+    @Example
+    void slowKindIsLearntAlthoughItsWorkersLookSlowedDown()
+    {
+        addThreeKinds();
+        for (int i = 0; i < 20; i++)
+        {
+            observeProgress(4);
+        }
+        assertSlowness(2 * WORKERS_PER_KIND, 1.7 / 0.7, 0.6);
+        assertThat(workers.getLast().isSlowedDown()).isFalse();
+        assertThat(workers.getLast().kindSlowness()).isGreaterThan(1.8);
+    }
+
     /** Without knowledge nothing may differ from equal workers. */
     @Example
     void unknownSpeedsAreTypical()
@@ -160,6 +174,7 @@
         addThreeKinds();
         completeSteps(150, 10);
         durations.set(0, 6 * 0.7);
+        nowNanos += TimeUnit.SECONDS.toNanos(1);
         observeProgress(3);
         assertThat(workers.get(0).slowness()).isGreaterThan(3.0);
         assertThat(workers.get(0).isSlowedDown()).isTrue();
@@ -176,6 +191,7 @@
         addThreeKinds();
         completeSteps(150, 10);
         durations.set(0, 6 * 0.7);
+        nowNanos += TimeUnit.SECONDS.toNanos(1);
         observeProgress(3);
         speeds.beginObservation();
         speeds.update(nowNanos);
@@ -195,7 +211,7 @@
         List<StepRun> runs = new ArrayList<>();
         for (int i = 0; i < WORKERS_PER_KIND; i++)
         {
-            runs.add(new StepRun(workers.get(i), i == 0 ? 4_900 : 700, nowNanos, false, false));
+            runs.add(new StepRun(workers.get(i), i == 0 ? 4_900 : 700, nowNanos, false, new RunHistory()));
         }
         speeds.observe(runs, WORK_MILLIS, bias, false, nowNanos);
         speeds.update(nowNanos);
