--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -132,7 +132,7 @@
         this.ownerMonitor = new OwnerMonitor(new PeerOwnerProbe(registry), store::isStable,
                 registry::isOutranked, SteadyClock::nanos);
         this.election = new OwnerElection(id, platform, config, ownerMonitor, registry, adviceDispatcher,
-                SCORE, supervisor.child("owner"), settings.statusSeconds(), events);
+                SCORE, settings.stopCosts(), supervisor.child("owner"), settings.statusSeconds(), events);
         JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), events, metrics);
         CallerService service = new FreshConfigService(serviceFactory.create(config, intake), configProbe);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
@@ -179,6 +179,9 @@
                 "reason", () -> election.waits().tasksByLabel());
         metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
                 () -> election.waits().longestSecondsByLabel());
+        metrics.gauge("gaugehollow_stopped_core_milliseconds",
+                "Work lost by runs that were stopped to continue elsewhere, since the start of this box.",
+                "reason", election::stoppedCoreMillis);
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -95,6 +95,8 @@
             "Tasks of a step do not run; the text gives the reason, for how long, how many, the first index, and details."),
     TASK_UNBLOCKED(529, Level.INFO,
             "No task of a step waits any more; the text gives the whole wait and the reason that was logged last."),
+    JOB_DEFERRED(537, Level.INFO,
+            "A job can no longer be in time and is planned after jobs that can; the text gives its outlook and what decides its place."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change was applied on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read again."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write got no answer; a read determined its outcome."),
--- a/gaugehollow/src/main/java/org/gaugehollow/job/AdviceSpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/AdviceSpec.java
@@ -13,6 +13,12 @@
  */
 public record AdviceSpec(double decideMillis, double workerMillis, long validMillis)
 {
+    /**
+     * Number of workers in a typical call, used to estimate the duration of a call. The users count one
+     * call for as many workers into the critical path for each step.
+     */
+    public static final int TYPICAL_WORKERS = 30;
+
     /**
      * @param workers the number of workers in a call
      * @return the expected duration of the call, in milliseconds
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -160,8 +160,25 @@
             advice.unansweredSinceNanos = advice.requestedNanos;
         }
         AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
+        AdviceDispatcher.Call call = new AdviceDispatcher.Call(step.name(),
+                workers.stream().map(TrackedWorker::workerId).toList(), spec.expectedMillis(workers.size()),
+                step.job().queue().priority(), step.job().acceptedRevision(), needOf(step));
         Thread.ofVirtual().name("advice-" + step.name())
-                .start(() -> requestAdvice(step, advice, workers, spec));
+                .start(() -> requestAdvice(step, advice, workers, call));
+    }
+
+    private static AdviceDispatcher.Need needOf(Step step)
+    {
+        if (!step.job().isReady(step))
+        {
+            return AdviceDispatcher.Need.AHEAD;
+        }
+        return switch (step.job().latestOutlook())
+        {
+            case IN_TIME, UNCERTAIN -> AdviceDispatcher.Need.NOW;
+            case LATE -> AdviceDispatcher.Need.LATE;
+            case TOO_LATE -> AdviceDispatcher.Need.TOO_LATE;
+        };
     }
 
     private List<TrackedWorker> candidates(Step step, StepAdvice advice)
@@ -177,12 +194,9 @@
         return new AdviceCandidates(step, advice.allowed.keySet()).choose(workers);
     }
 
-    private void requestAdvice(Step step, StepAdvice advice, List<TrackedWorker> workers, AdviceSpec spec)
+    private void requestAdvice(Step step, StepAdvice advice, List<TrackedWorker> workers,
+            AdviceDispatcher.Call call)
     {
-        List<String> ids = workers.stream().map(TrackedWorker::workerId).toList();
-        AdviceDispatcher.Call call = new AdviceDispatcher.Call(step.name(), ids,
-                spec.expectedMillis(workers.size()), step.job().queue().priority(),
-                step.job().acceptedRevision());
         Optional<Advice> reply = Optional.empty();
         try
         {
@@ -195,20 +209,25 @@
         finally
         {
             // also after an unexpected exception, or the step could never request advice again
-            endRequest(step, advice, workers, reply);
+            endRequest(step, advice, workers, call, reply);
         }
     }
 
-    private void endRequest(Step step, StepAdvice advice, List<TrackedWorker> workers, Optional<Advice> reply)
+    private void endRequest(Step step, StepAdvice advice, List<TrackedWorker> workers,
+            AdviceDispatcher.Call call, Optional<Advice> reply)
     {
+        boolean isAhead = call.need() == AdviceDispatcher.Need.AHEAD;
         AdviceSpec spec = step.job().queue().adviceIfNeeded().orElseThrow();
         synchronized (cellState)
         {
-            boolean hasFailed = reply.isEmpty() && isWanted(step);
+            boolean hasFailed = reply.isEmpty() && !isAhead && isWanted(step);
             advice.failedRequests = hasFailed ? advice.failedRequests + 1 : 0;
             recordReply(advice, workers, reply, spec);
         }
-        onReply.run();
+        if (!isAhead || reply.isPresent())
+        {
+            onReply.run();
+        }
     }
 
     private boolean isWanted(Step step)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
@@ -23,7 +23,9 @@
  * Dispatches calls to the advice service over the channels of the boxes. The service handles the
  * calls of one box one at a time, so each channel carries one call and the others are queued by
  * priority. The channel of the owner is reserved for short calls, so that urgent work does not wait
- * behind a long one, and for long calls that have failed on another channel.
+ * behind a long one, and for long calls that have failed on another channel. Calls for jobs that
+ * are too late leave some channels free for urgent ones, and calls for steps that begin later don't
+ * wait for a channel at all.
  */
 public final class AdviceDispatcher
 {
@@ -32,6 +34,31 @@
     private static final int TIMEOUT_SLACK_MILLIS = 400;
     private static final int MAX_ATTEMPTS = 4;
     private static final double MAX_SHORT_CALL_MILLIS = 120;
+    /** Calls that can wait leave one in this many channels free. */
+    private static final int CHANNELS_PER_SPARE = 4;
+    /**
+     * Wait after which one call at a time for a job that is too late takes any free channel, so that it
+     * isn't passed over for ever.
+     */
+    private static final long MAX_PASSED_OVER_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    /** How urgently a call is needed; the most urgent first. */
+    enum Need
+    {
+        /** The step could start and its job can be in time. */
+        NOW,
+        /** The step could start and its job is late. */
+        LATE,
+        /** The step begins later. */
+        AHEAD,
+        /** The step could start and its job is too late. */
+        TOO_LATE;
+
+        boolean canWait()
+        {
+            return this == AHEAD || this == TOO_LATE;
+        }
+    }
 
     /**
      * A call that waits for a channel.
@@ -41,24 +68,25 @@
      * @param expectedMillis expected duration in milliseconds
      * @param priority 0 is the most urgent
      * @param rank rank among calls of the same priority, lowest first
+     * @param need how urgently the call is needed; decides before the priority
      * @param isRetry whether the call has failed on a channel
      */
-    record Call(String step, List<String> workers, double expectedMillis, int priority, long rank,
+    record Call(String step, List<String> workers, double expectedMillis, int priority, long rank, Need need,
             boolean isRetry)
     {
-        Call(String step, List<String> workers, double expectedMillis, int priority, long rank)
+        Call(String step, List<String> workers, double expectedMillis, int priority, long rank, Need need)
         {
-            this(step, workers, expectedMillis, priority, rank, false);
+            this(step, workers, expectedMillis, priority, rank, need, false);
         }
 
         Call retry()
         {
-            return new Call(step, workers, expectedMillis, priority, rank, true);
+            return new Call(step, workers, expectedMillis, priority, rank, need, true);
         }
 
         boolean mayUseOwnChannel()
         {
-            return expectedMillis <= MAX_SHORT_CALL_MILLIS || isRetry;
+            return expectedMillis <= MAX_SHORT_CALL_MILLIS && !need.canWait() || isRetry;
         }
     }
 
@@ -69,6 +97,8 @@
         private final boolean isOwn;
         private boolean busy;
         private boolean lastCallFailed;
+        /** Whether it carries a call that was passed over for long. */
+        private boolean carriesPassedOver;
         private long unusableUntilNanos = SteadyClock.nanos();
 
         Channel(AdvicePort port, boolean isOwn)
@@ -91,8 +121,8 @@
     }
 
     private final Map<String, Channel> channels = new LinkedHashMap<>();
-    private final TreeSet<Call> waiting = new TreeSet<>(
-            Comparator.comparingInt(Call::priority).thenComparingLong(Call::rank).thenComparing(Call::step));
+    private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparing(Call::need)
+            .thenComparingInt(Call::priority).thenComparingLong(Call::rank).thenComparing(Call::step));
     private final EventLog events;
 
     /**
@@ -127,7 +157,8 @@
      *
      * @param call the call to send
      * @param isWanted whether the advice is still needed, evaluated when a channel is available
-     * @return the advice, or empty if it is no longer needed or no channel returned a reply
+     * @return the advice, or empty if it is no longer needed, if no channel returned a reply, or if the
+     *         call is made ahead and no channel can be spared
      * @throws InterruptedException if the process stops
      */
     Optional<Advice> advise(Call call, BooleanSupplier isWanted) throws InterruptedException
@@ -135,7 +166,11 @@
         Call attempt = call;
         for (int i = 0; i < MAX_ATTEMPTS; i++)
         {
-            Channel channel = acquire(attempt);
+            Channel channel = attempt.need() == Need.AHEAD ? tryAcquire(attempt) : acquire(attempt);
+            if (channel == null)
+            {
+                return Optional.empty();
+            }
             try
             {
                 if (!isWanted.getAsBoolean())
@@ -161,17 +196,37 @@
         return Optional.empty();
     }
 
+    /** Returns a channel that can be spared now, or null. */
+    private synchronized Channel tryAcquire(Call call)
+    {
+        Channel channel = findFreeChannel(call);
+        boolean isSpare = channel != null && hasSpareChannels(call) && !hasPrecedingCall(call, channel);
+        if (!isSpare)
+        {
+            return null;
+        }
+        channel.busy = true;
+        return channel;
+    }
+
     private synchronized Channel acquire(Call call) throws InterruptedException
     {
+        long startNanos = SteadyClock.nanos();
         waiting.add(call);
         try
         {
             while (true)
             {
                 Channel channel = findFreeChannel(call);
-                if (channel != null && !hasPrecedingCall(call, channel))
+                boolean passedOver = call.need().canWait()
+                        && SteadyClock.nanos() - startNanos >= MAX_PASSED_OVER_NANOS
+                        && channels.values().stream().noneMatch(other -> other.carriesPassedOver);
+                boolean isNext = channel != null && !hasPrecedingCall(call, channel)
+                        && (!call.need().canWait() || hasSpareChannels(call));
+                if (isNext || channel != null && passedOver)
                 {
                     channel.busy = true;
+                    channel.carriesPassedOver = !isNext;
                     return channel;
                 }
                 wait(FAULT_BACKOFF_MILLIS / 2);
@@ -203,6 +258,14 @@
         return lastChoice;
     }
 
+    /** Returns whether enough channels stay free for urgent calls if a call that can wait takes one. */
+    private boolean hasSpareChannels(Call call)
+    {
+        long free = channels.values().stream().filter(channel -> channel.isFree(call, channels.size()))
+                .count();
+        return free > channels.size() / CHANNELS_PER_SPARE;
+    }
+
     private boolean hasPrecedingCall(Call call, Channel channel)
     {
         for (Call other : waiting.headSet(call))
@@ -218,6 +281,7 @@
     private synchronized void release(Channel channel)
     {
         channel.busy = false;
+        channel.carriesPassedOver = false;
         notifyAll();
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -378,11 +378,16 @@
         return JobOrder.waitingByUrgency(jobs.values(), wallMillis);
     }
 
+    /** Returns the jobs that have not ended. */
+    List<Job> activeJobs()
+    {
+        return jobs.values().stream().filter(job -> !job.state().isFinal()).toList();
+    }
+
     /** Returns the steps of jobs that have not ended with tasks that are ready to start. */
     List<Step> waitingSteps()
     {
-        return jobs.values().stream().filter(job -> !job.state().isFinal())
-                .flatMap(job -> job.waitingSteps().stream()).toList();
+        return activeJobs().stream().flatMap(job -> job.waitingSteps().stream()).toList();
     }
 
     /** Returns the priority of the least urgent queue with tasks on workers; 0 is the most urgent. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -34,8 +34,9 @@
      * @param worker the id of the worker
      * @param cause the cause of the loss
      * @param observedMillis the observed run time in milliseconds
+     * @param step the step of the task
      */
-    record LostRun(String task, int run, String worker, WorkerLossCause cause, long observedMillis)
+    record LostRun(String task, int run, String worker, WorkerLossCause cause, long observedMillis, Step step)
     {
     }
 
@@ -81,7 +82,8 @@
     /** Adds a run that was lost with its worker. */
     void addLostRun(Task task, TrackedWorker worker, WorkerLossCause cause)
     {
-        lostRuns.add(new LostRun(task.name(), task.run(), worker.id(), cause, task.observedMillis()));
+        lostRuns.add(
+                new LostRun(task.name(), task.run(), worker.id(), cause, task.observedMillis(), task.step()));
     }
 
     /** Returns the jobs whose progress is to be written. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -6,28 +6,24 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.IntPredicate;
 
+import org.gaugehollow.job.AdviceSpec;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.QueueSpec;
 import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.urgency.JobUrgency;
+import org.gaugehollow.urgency.Objective;
+import org.gaugehollow.urgency.Outlook;
 
 /** An accepted job in the cell state. Guarded by the lock of the cell state. */
 final class Job
 {
-    /** Multiple of its objective after which a job no longer benefits from planning ahead of others. */
-    private static final int MAX_LATE_FACTOR = 3;
-    /**
-     * Number of workers in a typical advice call, used to estimate the duration of the call. The users
-     * count one call for as many workers into the critical path for each step.
-     */
-    private static final int TYPICAL_ADVICE_WORKERS = 30;
-    /** Factor by which the actual duration may exceed the estimates. */
-    private static final double ESTIMATE_TOLERANCE = 1.5;
 
     private final JobRecord record;
     private final long criticalPathMillis;
@@ -36,6 +32,8 @@
     private final boolean openEnded;
     private final TreeMap<Integer, List<Step>> rounds = new TreeMap<>();
     private boolean beyondWeight;
+    /** Null until the job is planned for the first time. */
+    private JobUrgency urgency;
     private JobState state = JobState.QUEUED;
     private QueueSpec queue;
     private long changeCount;
@@ -89,27 +87,46 @@
     }
 
     /**
-     * Returns whether the job is so late that hurrying it brings no benefit. Never true for
-     * long-running jobs or jobs with due times.
+     * Returns whether the job can still meet its objective if its remaining steps begin at the given
+     * time. Long-running jobs and jobs with due times have no objective and are never late.
      */
-    boolean isTooLate(long wallMillis)
+    Outlook outlook(long wallMillis)
     {
-        return !openEnded
-                && wallMillis - record.acceptedMillis() > MAX_LATE_FACTOR * tolerantObjectiveMillis();
+        return openEnded
+                ? Outlook.IN_TIME
+                : objective().outlook(wallMillis - record.acceptedMillis(), remainingMillis());
     }
 
-    /**
-     * Returns the objective under the assumption that the estimates are too low by the tolerated
-     * factor.
-     */
-    private long tolerantObjectiveMillis()
+    /** Determines what decides the place of the job among others at the given time. */
+    JobUrgency updateUrgency(long wallMillis)
+    {
+        urgency = new JobUrgency(outlook(wallMillis), queue.priority(), slackMillis(wallMillis), hasBegun(),
+                acceptedRevision);
+        return urgency;
+    }
+
+    /** Returns the urgency as of the latest update, if there was one. */
+    Optional<JobUrgency> urgency()
+    {
+        return Optional.ofNullable(urgency);
+    }
+
+    /** Returns the outlook as of the latest update; in time before the first one. */
+    Outlook latestOutlook()
     {
-        return objectiveMillis((long) (ESTIMATE_TOLERANCE * criticalPathMillis));
+        return urgency == null ? Outlook.IN_TIME : urgency.outlook();
     }
 
-    private long objectiveMillis(long criticalPath)
+    private Objective objective()
     {
-        return queue.targetMillis() + (long) (queue.stretch() * criticalPath);
+        return new Objective(queue.targetMillis(), queue.stretch(), criticalPathMillis);
+    }
+
+    /** Returns whether a task of the job is on a worker or done. */
+    private boolean hasBegun()
+    {
+        return steps().stream().flatMap(step -> step.tasks().stream())
+                .anyMatch(task -> task.phase() != Task.Phase.WAITING);
     }
 
     /**
@@ -119,23 +136,13 @@
      */
     long slackMillis(long wallMillis)
     {
-        return record.acceptedMillis() + objectiveMillis(criticalPathMillis) - remainingMillis() - wallMillis;
+        return objective().slackMillis(wallMillis - record.acceptedMillis(), remainingMillis());
     }
 
     /** Returns the delay that the job could take at its acceptance, in milliseconds. */
     long initialSlackMillis()
     {
-        return objectiveMillis(criticalPathMillis) - criticalPathMillis;
-    }
-
-    /**
-     * Returns whether the job will miss its objective even if its estimates are too low. Never true for
-     * long-running jobs or jobs with due times.
-     */
-    boolean willMissObjective(long wallMillis)
-    {
-        long deadlineMillis = record.acceptedMillis() + tolerantObjectiveMillis();
-        return !openEnded && wallMillis + remainingMillis() > deadlineMillis;
+        return objective().slackMillis(0, criticalPathMillis);
     }
 
     /** Returns the estimated critical path of the steps that are not done. */
@@ -150,7 +157,7 @@
     {
         long[] ends = new long[steps.size()];
         long adviceMillis = (long) queue.adviceIfNeeded()
-                .map(advice -> advice.expectedMillis(TYPICAL_ADVICE_WORKERS)).orElse(0.0).doubleValue();
+                .map(advice -> advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS)).orElse(0.0).doubleValue();
         long longest = 0;
         for (int i = 0; i < ends.length; i++)
         {
@@ -182,6 +189,42 @@
         return waiting;
     }
 
+    /**
+     * Returns the steps that begin once the tasks that are on workers have ended: their dependencies
+     * have no waiting task, but aren't all done.
+     */
+    List<Step> nextSteps()
+    {
+        List<Step> next = new ArrayList<>();
+        for (List<Step> round : rounds.values())
+        {
+            for (Step step : round)
+            {
+                boolean isNext = step.hasWaiting() && !isReady(step, round) && step.spec().dependsOn()
+                        .stream().noneMatch(number -> round.get(number).hasWaiting());
+                if (isNext)
+                {
+                    next.add(step);
+                }
+            }
+        }
+        return next;
+    }
+
+    /** Returns the estimated time until the dependencies of a step are done, in milliseconds. */
+    long millisUntilReady(Step step, long nowNanos)
+    {
+        List<Step> round = rounds.get(step.round());
+        return step.spec().dependsOn().stream().flatMap(number -> round.get(number).tasks().stream())
+                .filter(Task::isOnWorker).mapToLong(task -> task.remainingMillis(nowNanos)).max().orElse(0);
+    }
+
+    /** Returns whether all dependencies of a step of this job are done. */
+    boolean isReady(Step step)
+    {
+        return isReady(step, rounds.get(step.round()));
+    }
+
     /** Returns whether all dependencies of a step are done. */
     private static boolean isReady(Step step, List<Step> round)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobOrder.java
@@ -9,18 +9,24 @@
 import java.util.Comparator;
 import java.util.List;
 
+import org.gaugehollow.urgency.JobUrgency;
+import org.gaugehollow.urgency.Outlook;
+import org.gaugehollow.urgency.UrgencyOrder;
+
 /** Defines the order in which jobs are planned. */
 final class JobOrder
 {
-    private static final Comparator<RankedJob> BY_URGENCY = Comparator.comparing(RankedJob::tooLate)
+    private static final Comparator<RankedJob> BY_URGENCY = Comparator.comparing(RankedJob::isTooLate)
             .thenComparing(ranked -> ranked.job().isBeyondWeight())
-            .thenComparingInt(ranked -> ranked.job().queue().priority())
-            .thenComparing(RankedJob::willMissObjective)
-            .thenComparingLong(ranked -> ranked.job().acceptedRevision());
+            .thenComparing(RankedJob::urgency, UrgencyOrder.WITHIN_CUSTOMER);
 
-    /** A job with the sort keys that depend on the current time. */
-    private record RankedJob(Job job, boolean tooLate, boolean willMissObjective)
+    /** A job with what decides its place at the current time. */
+    private record RankedJob(Job job, JobUrgency urgency)
     {
+        boolean isTooLate()
+        {
+            return urgency.outlook() == Outlook.TOO_LATE;
+        }
     }
 
     private JobOrder()
@@ -29,8 +35,7 @@
 
     /**
      * Returns the jobs with tasks that are ready to start, in planning order: jobs that are not yet too
-     * late first, then jobs within their customer's weight, then by queue priority, then jobs that can
-     * still meet their objective, then by age.
+     * late first, then jobs within their customer's weight, then in the order of {@link UrgencyOrder}.
      *
      * @param jobs jobs, ended or not
      * @param wallMillis the wall-clock time, in milliseconds since 1970
@@ -45,8 +50,7 @@
                 job.beginDueRounds(wallMillis);
                 if (!job.waitingSteps().isEmpty())
                 {
-                    ranked.add(
-                            new RankedJob(job, job.isTooLate(wallMillis), job.willMissObjective(wallMillis)));
+                    ranked.add(new RankedJob(job, job.updateUrgency(wallMillis)));
                 }
             }
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,7 @@
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.urgency.StopCosts;
 
 /**
  * Elects the cell's owner. This box acquires ownership when there is no owner or the owner is
@@ -84,6 +86,8 @@
     private final Ranking ranking;
     private final AdviceDispatcher adviceDispatcher;
     private final WorkerScore score;
+    private final StopCosts stopCosts;
+    private final StoppedWork stoppedWork;
     private final Supervisor supervisor;
     private final long retentionNanos;
     private final EventLog events;
@@ -100,13 +104,14 @@
      * @param ranking ranks this box among the others
      * @param adviceDispatcher dispatches calls to the advice service
      * @param score the placement policy
+     * @param stopCosts what it costs to stop a run
      * @param supervisor parent of the owner's tasks
      * @param retentionSeconds time for which a finished job is kept, in seconds
      * @param events log for the events of terms
      */
     public OwnerElection(String box, CellPlatform platform, Supplier<CellConfig> config, OwnerMonitor monitor,
-            Ranking ranking, AdviceDispatcher adviceDispatcher, WorkerScore score, Supervisor supervisor,
-            int retentionSeconds, EventLog events)
+            Ranking ranking, AdviceDispatcher adviceDispatcher, WorkerScore score, StopCosts stopCosts,
+            Supervisor supervisor, int retentionSeconds, EventLog events)
     {
         this.box = box;
         this.platform = platform;
@@ -115,11 +120,19 @@
         this.ranking = ranking;
         this.adviceDispatcher = adviceDispatcher;
         this.score = score;
+        this.stopCosts = stopCosts;
+        this.stoppedWork = new StoppedWork(stopCosts);
         this.supervisor = supervisor;
         this.retentionNanos = TimeUnit.SECONDS.toNanos(retentionSeconds);
         this.events = events;
     }
 
+    /** @return the core-milliseconds lost by stops that this box decided, by label of the reason */
+    public Map<String, Double> stoppedCoreMillis()
+    {
+        return stoppedWork.byLabel();
+    }
+
     @Override
     public void run() throws InterruptedException
     {
@@ -333,7 +346,7 @@
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
         try (OwnerTerm newTerm = new OwnerTerm(platform, lease, events, termSupervisor, config,
-                adviceDispatcher, score, retentionNanos))
+                adviceDispatcher, score, stopCosts, stoppedWork, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
             termSupervisor.start("lease", () -> renewPeriodically(lease));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -22,6 +22,7 @@
 import org.gaugehollow.platform.KeyPoller;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.urgency.StopCosts;
 import org.gaugehollow.worker.HeartbeatReply;
 import org.gaugehollow.worker.HeartbeatReply.EndedRun;
 
@@ -63,20 +64,23 @@
     private final QuotaMonitor quotaMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
+    private final OutlookMonitor outlookMonitor;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
     private final UnresponsiveWorkerGuard unresponsiveWorkerGuard;
     private final Semaphore wakeUps = new Semaphore(0);
+    private final StoppedWork stoppedWork;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
-            long retentionNanos)
+            StopCosts stopCosts, StoppedWork stoppedWork, long retentionNanos)
     {
         this.retentionNanos = retentionNanos;
+        this.stoppedWork = stoppedWork;
         this.platform = platform;
         this.lease = lease;
         this.events = events;
@@ -84,15 +88,16 @@
         this.config = config;
         this.journal = new Journal(platform.store(), cellState, lease, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
-        this.planner = new Planner(cellState, adviceCache, score);
+        this.planner = new Planner(cellState, adviceCache, score, stopCosts);
         this.quotaMonitor = new QuotaMonitor(events);
         long beginNanos = SteadyClock.nanos();
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
                 beginNanos);
         this.waitMonitor = new WaitMonitor(events, lease, beginNanos);
+        this.outlookMonitor = new OutlookMonitor(events);
         this.evacuation = new Evacuation(cellState);
         this.stallGuard = new StallGuard(cellState);
-        this.slowWorkerGuard = new SlowWorkerGuard(cellState);
+        this.slowWorkerGuard = new SlowWorkerGuard(cellState, stopCosts);
         this.unresponsiveWorkerGuard = new UnresponsiveWorkerGuard(cellState);
         this.jobReader = new JobReader(this, platform.store(), this::startWorkerTasks);
         this.workerSessions = new WorkerSessions(this, platform, supervisor, config);
@@ -197,6 +202,7 @@
         List<Effects> expired;
         List<UnresponsiveWorkerGuard.AbandonedRun> abandonedRuns;
         Optional<List<WaitingGroup>> waiting = Optional.empty();
+        List<OutlookMonitor.Worsened> outlooks = List.of();
         long scanNanos;
         synchronized (cellState)
         {
@@ -217,13 +223,14 @@
             if (waitMonitor.isDue(scanNanos))
             {
                 waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
+                outlooks = outlookMonitor.scan(cellState.activeJobs());
             }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
-        recordMovedTasks(evacuations, "its worker is leaving");
-        recordMovedTasks(stalls, "it is stalled");
-        recordMovedTasks(slowRuns, "its worker is slow");
+        recordMovedTasks(evacuations, StoppedWork.Reason.EVACUATION, "its worker is leaving");
+        recordMovedTasks(stalls, StoppedWork.Reason.STALL, "it is stalled");
+        recordMovedTasks(slowRuns, StoppedWork.Reason.SLOW_WORKER, "its worker is slow");
         apply(evacuations);
         apply(stalls);
         apply(slowRuns);
@@ -232,6 +239,7 @@
         quotaMonitor.onPlan(plan.atQuota(), SteadyClock.nanos());
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
+        outlookMonitor.report(outlooks);
         waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
     }
 
@@ -249,16 +257,18 @@
 
     private void applyPreemption(Planner.PreemptionDecision preemption)
     {
-        recordMovedTasks(preemption.effects(), preemption.step().name() + " preempts it");
+        recordMovedTasks(preemption.effects(), StoppedWork.Reason.PREEMPTION,
+                preemption.step().name() + " preempts it");
         apply(preemption.effects());
     }
 
-    private void recordMovedTasks(Effects effects, String reason)
+    private void recordMovedTasks(Effects effects, StoppedWork.Reason reason, String description)
     {
+        stoppedWork.add(reason, effects, SteadyClock.nanos());
         for (Effects.Stop stop : effects.stops())
         {
             events.record(EventType.TASK_MOVED, stop.taskName(),
-                    "run " + stop.run() + " on " + stop.worker().id() + ": " + reason);
+                    "run " + stop.run() + " on " + stop.worker().id() + ": " + description);
         }
     }
 
@@ -404,6 +414,7 @@
     {
         for (Effects.LostRun run : effects.lostRuns())
         {
+            stoppedWork.addLost(run);
             events.record(EventType.RUN_LOST, run.task(), "run " + run.run() + " on " + run.worker() + ": "
                     + run.cause().description() + ", observed running for " + run.observedMillis() + " ms");
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -20,6 +20,7 @@
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.urgency.StopCosts;
 import org.gaugehollow.worker.CommandResult;
 import org.gaugehollow.worker.HeartbeatReply;
 import org.gaugehollow.worker.HeartbeatReply.EndedRun;
@@ -102,7 +103,7 @@
         private final Planner planner;
         private final Evacuation evacuation = new Evacuation(cellState);
         private final StallGuard stallGuard = new StallGuard(cellState);
-        private final SlowWorkerGuard slowWorkerGuard = new SlowWorkerGuard(cellState);
+        private final SlowWorkerGuard slowWorkerGuard = new SlowWorkerGuard(cellState, StopCosts.DEFAULT);
         private final UnresponsiveWorkerGuard unresponsiveWorkerGuard = new UnresponsiveWorkerGuard(
                 cellState);
         private final List<TrackedWorker> workers = new ArrayList<>();
@@ -112,7 +113,7 @@
 
         Round(WorkerScore score)
         {
-            this.planner = new Planner(cellState, new NoTickets(), score);
+            this.planner = new Planner(cellState, new NoTickets(), score, StopCosts.DEFAULT);
             this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, new NoTickets()),
                     new OwnerLease("", 0, 0, OwnerLease.UNKNOWN_FENCE), SteadyClock.nanos());
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -11,9 +11,13 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.gaugehollow.job.AdviceSpec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
+import org.gaugehollow.urgency.Outlook;
+import org.gaugehollow.urgency.PrefetchWindow;
+import org.gaugehollow.urgency.StopCosts;
 
 /**
  * Assigns waiting tasks to workers. Jobs are processed in the order of {@link JobOrder}; each task
@@ -82,11 +86,14 @@
         }
     }
 
+    /** Maximum number of steps in one planning round for which advice is requested ahead. */
+    private static final int MAX_PREFETCHED_STEPS = 4;
+
     private final CellState cellState;
     private final Tickets tickets;
     private final WorkerRating rating;
     private final CapacityReservations reservations = new CapacityReservations();
-    private final Preemption preemption = new Preemption(reservations);
+    private final Preemption preemption;
     private AdviceBudget adviceBudget = AdviceBudget.NONE;
     private QuotaUsage quotaUsage;
     private List<TrackedWorker> acceptingWorkers = List.of();
@@ -96,6 +103,12 @@
 
     Planner(CellState cellState, Tickets tickets, WorkerScore score)
     {
+        this(cellState, tickets, score, StopCosts.DEFAULT);
+    }
+
+    Planner(CellState cellState, Tickets tickets, WorkerScore score, StopCosts stopCosts)
+    {
+        this.preemption = new Preemption(reservations, stopCosts);
         this.cellState = cellState;
         this.tickets = tickets;
         this.rating = new WorkerRating(score);
@@ -121,9 +134,42 @@
                 planStep(step, plan, nowNanos);
             }
         }
+        prefetchNextSteps(plan, nowNanos, wallMillis);
         return plan;
     }
 
+    /**
+     * Requests advice for steps that begin soon, so that they don't wait for a call. Jobs that can't be
+     * in time are left out, and steps that could start now have consumed their share before.
+     */
+    private void prefetchNextSteps(Plan plan, long nowNanos, long wallMillis)
+    {
+        int left = MAX_PREFETCHED_STEPS;
+        for (Job job : cellState.activeJobs())
+        {
+            boolean needsTickets = job.queue().adviceIfNeeded().isPresent();
+            if (left > 0 && needsTickets && job.outlook(wallMillis).mayBeInTime())
+            {
+                for (Step step : job.nextSteps())
+                {
+                    boolean requests = isPrefetchDue(step, nowNanos) && adviceBudget.acquireForPrefetch(step);
+                    if (requests)
+                    {
+                        plan.needAdvice().add(step);
+                        left--;
+                    }
+                }
+            }
+        }
+    }
+
+    private boolean isPrefetchDue(Step step, long nowNanos)
+    {
+        AdviceSpec advice = step.job().queue().adviceIfNeeded().orElseThrow();
+        return !tickets.isFresh(step) && PrefetchWindow.isDue(step.job().millisUntilReady(step, nowNanos),
+                advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS), advice.validMillis());
+    }
+
     private void planStep(Step step, Plan plan, long nowNanos)
     {
         if (waitsForQuota(step, plan))
@@ -206,12 +252,13 @@
     /**
      * Returns whether to request advice for a step. Advice is requested if a task could start now;
      * otherwise it is prefetched so that preemption selects allowed workers and freed capacity is used
-     * at once.
+     * at once. Nothing is prefetched for jobs that are too late, since the calls delay those of others.
      */
     private boolean shouldRequestAdvice(Step step, List<TrackedWorker> candidates)
     {
         return hasCapacityOnAny(step, candidates) && adviceBudget.acquireForFreeCapacity(step)
-                || !tickets.isFresh(step) && adviceBudget.acquireForPrefetch(step);
+                || step.job().latestOutlook() != Outlook.TOO_LATE && !tickets.isFresh(step)
+                        && adviceBudget.acquireForPrefetch(step);
     }
 
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -13,29 +13,18 @@
 import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.model.ComputeResources;
+import org.gaugehollow.urgency.StopCosts;
 
 /**
  * Selects runs of less urgent queues to stop for tasks that fit on no worker. A run is eligible
- * only if little of its work is lost and its job has enough slack. The freed capacity is reserved
- * for the waiting task, because smaller tasks would otherwise keep taking it piece by piece.
+ * only if little of its work is lost and its job has enough slack. No run is stopped for tasks that
+ * find capacity as soon without a stop. The freed capacity is reserved for the waiting task,
+ * because smaller tasks would otherwise keep taking it piece by piece.
  */
 final class Preemption
 {
-    /**
-     * Lifetime of a reservation; covers the stop, which takes up to 0.4 s, the report of the run's end
-     * and a refresh of the advice.
-     */
-    private static final long RESERVATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    /**
-     * Runs that end within this time are not stopped, because a stop would not free capacity sooner.
-     */
-    private static final long ENDS_SOON_MILLIS = 300;
-    /** Delay of a job whose run is stopped: the stop, another start and restoring the checkpoint. */
-    private static final long STOP_COST_MILLIS = 2_000;
     /** Share of a job's initial slack that must be left for its runs to be stopped. */
     private static final double MIN_SLACK_SHARE = 0.5;
-    /** Work lost by a run with checkpoints: the time to restore its state. */
-    private static final long RESTORE_MILLIS = 600;
     /** Maximum work lost by preemption, as a share of the work of the task to start. */
     private static final double MAX_LOST_WORK_SHARE = 0.5;
 
@@ -49,6 +38,8 @@
     }
 
     private final CapacityReservations reservations;
+    private final StopCosts stopCosts;
+    private SoonFreeCapacity soonFree;
     private long nowNanos;
     private long wallMillis;
     private long nextSearchNanos;
@@ -56,9 +47,10 @@
     private int stepsLeft;
     private int leastUrgentPriority;
 
-    Preemption(CapacityReservations reservations)
+    Preemption(CapacityReservations reservations, StopCosts stopCosts)
     {
         this.reservations = reservations;
+        this.stopCosts = stopCosts;
     }
 
     /**
@@ -78,19 +70,26 @@
             hasSearched = true;
             nextSearchNanos = currentNanos + SEARCH_PERIOD_NANOS;
             stepsLeft = MAX_STEPS_PER_PERIOD;
+            soonFree = new SoonFreeCapacity(stopCosts, currentNanos);
             leastUrgentPriority = cellState.leastUrgentRunning();
         }
     }
 
     /**
      * Returns whether this round may search for runs to stop for the step. There is no search if no
-     * less urgent run exists or if the job will miss its objective anyway.
+     * less urgent run exists or if the job will miss its objective even if it gets the capacity.
      */
     boolean canPreempt(Step step)
     {
         boolean mayStart = !step.spec().gang() || step.isIdle();
         boolean isLeastUrgent = step.job().queue().priority() >= leastUrgentPriority;
-        return stepsLeft > 0 && !isLeastUrgent && mayStart && !step.job().willMissObjective(wallMillis);
+        return stepsLeft > 0 && !isLeastUrgent && mayStart && canBeInTimeAfterStop(step);
+    }
+
+    private boolean canBeInTimeAfterStop(Step step)
+    {
+        boolean resumes = step.waitingTasks().stream().anyMatch(task -> task.checkpoint() != null);
+        return step.job().outlook(wallMillis + stopCosts.startDelayMillis(resumes)).mayBeInTime();
     }
 
     /**
@@ -110,6 +109,12 @@
         }
         stepsLeft--;
         int unreserved = step.waitingTasks().size() - reservations.countOf(step);
+        int withoutStop = soonFree.claim(step, allowed, unreserved);
+        if (step.spec().gang() && withoutStop < unreserved)
+        {
+            withoutStop = 0;
+        }
+        unreserved -= withoutStop;
         List<Placement> placements = new ArrayList<>();
         Set<Task> chosenVictims = new HashSet<>();
         for (int i = 0; i < unreserved; i++)
@@ -128,7 +133,8 @@
         }
         for (Placement placement : placements)
         {
-            reservations.add(step, placement.worker(), nowNanos + RESERVATION_NANOS);
+            reservations.add(step, placement.worker(),
+                    nowNanos + TimeUnit.MILLISECONDS.toNanos(stopCosts.reservationMillis()));
             placement.victims().forEach(effects::stop);
         }
         return effects;
@@ -192,8 +198,8 @@
 
     private long lostMillis(Task task)
     {
-        long ranMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - task.startedNanos());
-        return task.step().spec().checkpointing() ? Math.min(ranMillis, RESTORE_MILLIS) : ranMillis;
+        return stopCosts.lostByStopMillis(task.millisSinceStart(nowNanos),
+                task.step().spec().checkpointing());
     }
 
     /** Returns the share of a worker's capacity that a task of the step uses. */
@@ -213,12 +219,12 @@
     private boolean endsSoon(Task task)
     {
         return task.phase() == Task.Phase.STOPPING
-                || task.phase() == Task.Phase.RUNNING && task.remainingMillis(nowNanos) <= ENDS_SOON_MILLIS;
+                || task.phase() == Task.Phase.RUNNING && stopCosts.endsSoon(task.remainingMillis(nowNanos));
     }
 
-    private static long minSlackMillis(Job job)
+    private long minSlackMillis(Job job)
     {
-        return Math.max(STOP_COST_MILLIS, (long) (MIN_SLACK_SHARE * job.initialSlackMillis()));
+        return Math.max(stopCosts.jobDelayMillis(), (long) (MIN_SLACK_SHARE * job.initialSlackMillis()));
     }
 
     private boolean canStop(Task task, Step urgentStep)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SlowWorkerGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SlowWorkerGuard.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.job.StepSpec;
+import org.gaugehollow.urgency.StopCosts;
 
 /**
  * Detects workers on which runs take much longer than other tasks of the same steps on other
@@ -26,18 +27,18 @@
     private static final double MIN_SLOW_RATIO = 2.5;
     private static final double MAX_NORMAL_RATIO = 1.8;
     private static final int MIN_SLOW_STEPS = 2;
-    /** Cost of a move besides the repeated work: a stop, a planning round and a start. */
-    private static final double MOVE_COST_MILLIS = 500;
     private static final double UNKNOWN = 0;
 
     private final CellState cellState;
+    private final StopCosts stopCosts;
     private final Map<Step, Double> medians = new HashMap<>();
     private long checkedNanos;
     private boolean hasChecked;
 
-    SlowWorkerGuard(CellState cellState)
+    SlowWorkerGuard(CellState cellState, StopCosts stopCosts)
     {
         this.cellState = cellState;
+        this.stopCosts = stopCosts;
     }
 
     /** Checks all workers and stops the runs that should move. */
@@ -127,6 +128,6 @@
     private boolean isWorthMoving(Task task)
     {
         double leftMillis = projectedMillis(task) * (Task.FULL_PERCENT - task.percent()) / Task.FULL_PERCENT;
-        return leftMillis > medians.get(task.step()) + MOVE_COST_MILLIS;
+        return leftMillis > medians.get(task.step()) + stopCosts.moveMillis();
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
@@ -91,7 +91,15 @@
         String advice = tickets.unanswered(step).map(unanswered -> "; " + unanswered.describe(nowNanos))
                 .orElse("");
         return new Cause(reasonOf(step, obstacles),
-                "a task needs " + step.needs() + "; " + obstacles + advice);
+                "a task needs " + step.needs() + "; " + obstacles + describeOutlook(step.job()) + advice);
+    }
+
+    /** Describes why other jobs are planned first, if the job can't be in time. */
+    private static String describeOutlook(Job job)
+    {
+        return job.latestOutlook().mayBeInTime()
+                ? ""
+                : job.urgency().map(urgency -> "; " + OutlookMonitor.describe(urgency)).orElse("");
     }
 
     private WaitReason reasonOf(Step step, Obstacles obstacles)
--- a/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
@@ -31,10 +31,10 @@
                 .definedBy("..peer..").layer("config").definedBy("..config..").layer("membership")
                 .definedBy("..membership..").layer("keys").definedBy("..keys..").layer("entry")
                 .definedBy("..entry..").layer("job").definedBy("..job..").layer("worker")
-                .definedBy("..worker..").layer("schedule").definedBy("..schedule..").layer("box")
-                .definedBy("..box..").whereLayer("box").mayNotBeAccessedByAnyLayer().whereLayer("schedule")
-                .mayOnlyBeAccessedByLayers("box").whereLayer("worker")
-                .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("job")
+                .definedBy("..worker..").layer("schedule").definedBy("..schedule..").layer("urgency")
+                .definedBy("..urgency..").layer("box").definedBy("..box..").whereLayer("box")
+                .mayNotBeAccessedByAnyLayer().whereLayer("schedule").mayOnlyBeAccessedByLayers("box")
+                .whereLayer("worker").mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("job")
                 .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("entry").mayNotBeAccessedByAnyLayer()
                 .whereLayer("keys").mayOnlyBeAccessedByLayers("entry").whereLayer("membership")
                 .mayOnlyBeAccessedByLayers("keys", "entry").whereLayer("config")
@@ -43,7 +43,8 @@
                 .mayOnlyBeAccessedByLayers("entry").whereLayer("platform")
                 .mayOnlyBeAccessedByLayers("config", "membership", "entry", "schedule", "box")
                 .whereLayer("placement").mayOnlyBeAccessedByLayers("config", "entry", "schedule", "box")
-                .whereLayer("settings").mayOnlyBeAccessedByLayers("entry").check(CLASSES);
+                .whereLayer("urgency").mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("settings")
+                .mayOnlyBeAccessedByLayers("entry").check(CLASSES);
     }
 
     /** Guards against leases measured with a clock that stops while the machine is suspended. */
@@ -63,4 +64,17 @@
                 .callMethod(SteadyClock.class, "nanos").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(CLASSES);
     }
+
+    /**
+     * Guards against decisions that can't be replayed because they read a clock or keep state
+     * elsewhere.
+     */
+    @Test
+    void urgencyDependsOnNoOtherPackage()
+    {
+        ArchRuleDefinition.classes().that().resideInAPackage("..urgency..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("..urgency..", "java.lang..", "java.util..").check(CLASSES);
+        ArchRuleDefinition.noClasses().that().resideInAPackage("..urgency..").should()
+                .callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
+import org.gaugehollow.urgency.StopCosts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -74,7 +75,7 @@
         CellConfig config = new CellConfig(1, List.of());
         election = new OwnerElection("bole-2", platform, () -> config, monitor, new TestRanking(),
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                supervisor.child("owner"), 60, events);
+                StopCosts.DEFAULT, supervisor.child("owner"), 60, events);
         supervisor.start("election", election);
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -167,4 +167,30 @@
         assertThat(starts).hasSize(1);
         assertThat(starts.getFirst().task().step().job().id()).isEqualTo(SMALL);
     }
+
+    /** Guards against work thrown away for tasks that find capacity as soon without a stop. */
+    @Test
+    void noRunIsStoppedIfEnoughCapacityBecomesFreeSooner()
+    {
+        TrackedWorker second = cellState.updateWorker(TestJobs.worker("w2", WHOLE_WORKER));
+        second.setLeaseHeld(true);
+        accept(SMALL, PATIENT, 1, step(1, WHOLE_WORKER, true));
+        plan();
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(600));
+        accept("00000000000000dd", PATIENT, 2, step(1, WHOLE_WORKER, true));
+        plan();
+        accept(LARGE, URGENT, 3, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).isEmpty();
+    }
+
+    /** Guards against runs stopped for a task that is too late once the stop is over. */
+    @Test
+    void noRunIsStoppedForJobThatCannotBeInTimeAfterTheStop()
+    {
+        QueueSpec nearlyMissed = new QueueSpec("nearly", "service", 1, 3, 0, 1, null);
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        accept(LARGE, nearlyMissed, 2, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).isEmpty();
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SlowWorkerGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SlowWorkerGuardTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.worker.HeartbeatReply.RunningRun;
+import org.gaugehollow.urgency.StopCosts;
 import org.junit.jupiter.api.Test;
 
 /** Guards against missing slow workers and against taking slow tasks for slow workers. */
@@ -26,7 +27,7 @@
 
     private final AtomicLong clock = new AtomicLong(TimeUnit.SECONDS.toNanos(1_000));
     private final CellState cellState = new CellState(clock::get, 0);
-    private final SlowWorkerGuard guard = new SlowWorkerGuard(cellState);
+    private final SlowWorkerGuard guard = new SlowWorkerGuard(cellState, StopCosts.DEFAULT);
     private final List<TrackedWorker> workers = new ArrayList<>();
     private final Map<TrackedWorker, List<Task>> tasks = new HashMap<>();
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
+import org.gaugehollow.urgency.StopCosts;
 
 /** Runs a term of an owner on an in-memory platform and confirms it as the election does. */
 final class TestTerm implements AutoCloseable
@@ -65,7 +66,8 @@
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence);
         term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
-                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5), retentionNanos);
+                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
+                StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), retentionNanos);
         startConfirming();
         term.begin();
     }
