--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -97,6 +97,8 @@
             "No task of a step waits any more; the text gives the whole wait and the reason that was logged last."),
     KIND_SPEED_CHANGED(530, Level.INFO,
             "The estimated speed of a kind of worker changed notably; the text gives how long runs take there relative to the typical worker."),
+    JOB_DEFERRED(537, Level.INFO,
+            "A job can no longer be in time and is planned after jobs that can; the text gives its outlook and what decides its place."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change was applied on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read again."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write got no answer; a read determined its outcome."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SpeedNeeds.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SpeedNeeds.java
@@ -55,6 +55,6 @@
         long toObjectiveMillis = job.millisToObjective(step.round(), wallMillis);
         double workMillis = job.remainingMillis(step.round()) * speeds.bias(step).factor();
         return new SpeedFit.Rest(toObjectiveMillis, job.millisToUseless(step.round(), wallMillis), workMillis,
-                job.willMissObjective(wallMillis));
+                !job.outlook(wallMillis).mayBeInTime());
     }
 }
