--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -179,6 +179,12 @@
                 "reason", () -> election.waits().tasksByLabel());
         metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
                 () -> election.waits().longestSecondsByLabel());
+        metrics.gauge("gaugehollow_customer_share",
+                "Part of the cell that a customer uses, as a multiple of the part of its weight, for the largest.",
+                "customer", () -> election.customers().shares());
+        metrics.gauge("gaugehollow_customer_waiting_tasks",
+                "Tasks of a customer that are ready to start, for the customers with the largest shares.",
+                "customer", () -> election.customers().waitingTasks());
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/job/Customers.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/Customers.java
@@ -4,6 +4,7 @@
  */
 package org.gaugehollow.job;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
     private final boolean keysRequired;
     private final Map<String, Customer> byName = new HashMap<>();
     private final Map<String, Customer> byKey = new HashMap<>();
+    private final Map<String, Double> weights = new HashMap<>();
 
     /**
      * A customer with its keys.
@@ -62,6 +64,7 @@
             throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER,
                     "customer " + customer.name() + " is declared twice");
         }
+        weights.put(customer.name(), customer.weight());
         for (String key : declared.keys())
         {
             Customer other = byKey.put(key, customer);
@@ -96,4 +99,10 @@
     {
         return Optional.ofNullable(byName.get(name));
     }
+
+    /** @return the weights of all customers by name */
+    public Map<String, Double> weights()
+    {
+        return Collections.unmodifiableMap(weights);
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CustomerWaitMonitor.java
@@ -11,13 +11,12 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
-import org.gaugehollow.model.ComputeResources;
 
 /**
- * Logs when work of a customer starts and stops waiting for its quota, with one pair of events per
+ * Logs when work of a customer starts and stops waiting for one reason, with one pair of events per
  * wait period regardless of the number of plans.
  */
-final class QuotaMonitor
+final class CustomerWaitMonitor
 {
     /** Minimum time without waiting work before a wait period ends. */
     private static final long MIN_QUIET_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -28,22 +27,31 @@
     }
 
     private final EventLog events;
+    private final EventType began;
+    private final EventType ended;
     private final Map<String, WaitPeriod> waitPeriods = new HashMap<>();
 
-    QuotaMonitor(EventLog events)
+    /**
+     * @param events log for the wait periods
+     * @param began the event that begins a wait period
+     * @param ended the event that ends it
+     */
+    CustomerWaitMonitor(EventLog events, EventType began, EventType ended)
     {
         this.events = events;
+        this.began = began;
+        this.ended = ended;
     }
 
     /**
      * Updates the wait periods after a planning round.
      *
-     * @param atQuota the compute resources in use, by customer whose work waits for its quota
+     * @param waiting details of the wait, by customer whose work waits
      * @param nowNanos the monotonic time, in nanoseconds
      */
-    void onPlan(Map<String, ComputeResources> atQuota, long nowNanos)
+    void onPlan(Map<String, String> waiting, long nowNanos)
     {
-        atQuota.forEach((customer, running) -> recordWaiting(customer, running, nowNanos));
+        waiting.forEach((customer, details) -> recordWaiting(customer, details, nowNanos));
         Iterator<Map.Entry<String, WaitPeriod>> iterator = waitPeriods.entrySet().iterator();
         while (iterator.hasNext())
         {
@@ -52,18 +60,18 @@
             {
                 long millis = TimeUnit.NANOSECONDS
                         .toMillis(entry.getValue().lastNanos() - entry.getValue().firstNanos());
-                events.record(EventType.QUOTA_LEFT, entry.getKey(), "after " + millis + " ms");
+                events.record(ended, entry.getKey(), "after " + millis + " ms");
                 iterator.remove();
             }
         }
     }
 
-    private void recordWaiting(String customer, ComputeResources running, long nowNanos)
+    private void recordWaiting(String customer, String details, long nowNanos)
     {
         WaitPeriod previous = waitPeriods.get(customer);
         if (previous == null)
         {
-            events.record(EventType.QUOTA_REACHED, customer, "running: " + running);
+            events.record(began, customer, details);
         }
         waitPeriods.put(customer,
                 new WaitPeriod(previous == null ? nowNanos : previous.firstNanos(), nowNanos));
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -467,6 +467,12 @@
         return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
     }
 
+    /** @return the shares of customers in the current term; none if this box is not the owner */
+    public CustomerSnapshot customers()
+    {
+        return currentTerm.map(OwnerTerm::customers).orElse(CustomerSnapshot.EMPTY);
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -60,7 +60,8 @@
     private final Journal journal;
     private final AdviceCache adviceCache;
     private final Planner planner;
-    private final QuotaMonitor quotaMonitor;
+    private final CustomerWaitMonitor quotaMonitor;
+    private final CustomerWaitMonitor shareMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
     private final Evacuation evacuation;
@@ -71,6 +72,7 @@
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
+    private volatile CustomerSnapshot customers = CustomerSnapshot.EMPTY;
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
@@ -85,7 +87,9 @@
         this.journal = new Journal(platform.store(), cellState, lease, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score);
-        this.quotaMonitor = new QuotaMonitor(events);
+        this.quotaMonitor = new CustomerWaitMonitor(events, EventType.QUOTA_REACHED, EventType.QUOTA_LEFT);
+        this.shareMonitor = new CustomerWaitMonitor(events, EventType.SHARE_EXCEEDED,
+                EventType.SHARE_RESTORED);
         long beginNanos = SteadyClock.nanos();
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
                 beginNanos);
@@ -217,6 +221,7 @@
             if (waitMonitor.isDue(scanNanos))
             {
                 waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
+                customers = planner.customers();
             }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
@@ -230,6 +235,7 @@
         expired.forEach(this::applyLoss);
         applyLoss(poisoned);
         quotaMonitor.onPlan(plan.atQuota(), SteadyClock.nanos());
+        shareMonitor.onPlan(plan.heldBack(), SteadyClock.nanos());
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
         waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
@@ -445,6 +451,12 @@
         return waitMonitor.snapshot();
     }
 
+    /** Returns the shares and waiting tasks of the customers. */
+    CustomerSnapshot customers()
+    {
+        return customers;
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -11,13 +11,14 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
 
 /**
- * Assigns waiting tasks to workers. Jobs are processed in the order of {@link JobOrder}; each task
- * gets the eligible worker with sufficient free capacity and the best rating.
+ * Assigns waiting tasks to workers. Steps are processed in the order of {@link PlacementOrder};
+ * each task gets the eligible worker with sufficient free capacity and the best rating.
  */
 final class Planner
 {
@@ -41,9 +42,10 @@
      * @param needAdvice steps that need new advice before they can start
      * @param preemptions the runs to stop for more urgent steps
      * @param atQuota the compute resources in use, by customer whose work waits for its quota
+     * @param heldBack details by customer that is held back by its share
      */
     record Plan(List<Start> starts, List<Step> needAdvice, List<PreemptionDecision> preemptions,
-            Map<String, ComputeResources> atQuota)
+            Map<String, String> atQuota, Map<String, String> heldBack)
     {
     }
 
@@ -87,6 +89,8 @@
     private final WorkerRating rating;
     private final CapacityReservations reservations = new CapacityReservations();
     private final Preemption preemption = new Preemption(reservations);
+    private final OverdueRoom overdueRoom = new OverdueRoom(reservations);
+    private final PlacementOrder placementOrder = new PlacementOrder();
     private AdviceBudget adviceBudget = AdviceBudget.NONE;
     private QuotaUsage quotaUsage;
     private List<TrackedWorker> acceptingWorkers = List.of();
@@ -104,7 +108,8 @@
     /** Plans as many starts as the free capacity allows. */
     Plan plan(long nowNanos, long wallMillis)
     {
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>());
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>(),
+                new HashMap<>());
         isolationWorkers = cellState.crashGuard().isolationWorkers();
         acceptingWorkers = cellState.workers().stream()
                 .filter(worker -> worker.acceptsStarts() && !isolationWorkers.contains(worker)).toList();
@@ -114,21 +119,31 @@
         adviceBudget = AdviceBudget.of(acceptingWorkers);
         reservations.removeExpired(nowNanos);
         preemption.beginRound(cellState, nowNanos, wallMillis);
-        for (Job job : cellState.waitingByUrgency(wallMillis))
+        planSteps(plan, nowNanos, wallMillis);
+        return plan;
+    }
+
+    private void planSteps(Plan plan, long nowNanos, long wallMillis)
+    {
+        List<Job> jobs = cellState.waitingByUrgency(wallMillis);
+        PlacementOrder.Placer placer = (step, overdue) -> planStep(step, overdue, plan, nowNanos);
+        Customers customers = cellState.config().customers();
+        if (!customers.keysRequired())
         {
-            for (Step step : job.waitingSteps())
-            {
-                planStep(step, plan, nowNanos);
-            }
+            PlacementOrder.placeInOrder(jobs, placer);
+            return;
         }
-        return plan;
+        ComputeResources capacity = acceptingWorkers.stream().map(worker -> worker.entry().capacity())
+                .reduce(ComputeResources.NONE, ComputeResources::plus);
+        plan.heldBack().putAll(placementOrder.placeByShare(jobs, quotaUsage,
+                new PlacementOrder.Round(customers.weights(), capacity, nowNanos, wallMillis), placer));
     }
 
-    private void planStep(Step step, Plan plan, long nowNanos)
+    private PlacementOrder.Outcome planStep(Step step, boolean overdue, Plan plan, long nowNanos)
     {
         if (waitsForQuota(step, plan))
         {
-            return;
+            return new PlacementOrder.Outcome(false, false, false);
         }
         List<TrackedWorker> candidates = workersWithCapacity(step, nowNanos);
         boolean needsTickets = step.job().queue().adviceIfNeeded().isPresent();
@@ -151,16 +166,23 @@
         }
         if (!step.hasWaiting() || waitsForQuota(step, plan))
         {
-            return;
+            return new PlacementOrder.Outcome(hasStarted, false, false);
         }
+        boolean hasRoom = hasCapacityOnAny(step, candidates);
+        boolean gangLacksRoom = step.spec().gang() && step.isIdle() && usable.size() == candidates.size();
         if (preemption.canPreempt(step))
         {
             preemptFor(step, plan, nowNanos);
         }
-        if (needsTickets && shouldRequestAdvice(step, candidates))
+        if (overdue && !hasStarted && (!hasRoom || gangLacksRoom))
+        {
+            overdueRoom.reserve(step, allowedWorkers(step, nowNanos), nowNanos);
+        }
+        if (needsTickets && shouldRequestAdvice(step, hasRoom))
         {
             plan.needAdvice().add(step);
         }
+        return new PlacementOrder.Outcome(hasStarted, true, !hasRoom || gangLacksRoom);
     }
 
     /** Returns whether the customer's quota allows further starts of a step in the latest round. */
@@ -172,7 +194,23 @@
     /** Returns the compute resources that the customer of a step used in the latest round. */
     ComputeResources quotaUsage(Step step)
     {
-        return quotaUsage.usageOf(step.job().record().customer());
+        return quotaUsage.usageOf(QuotaUsage.customerOf(step.job()));
+    }
+
+    /** Returns the shares and waiting tasks of the customers as of the latest round. */
+    CustomerSnapshot customers()
+    {
+        if (!cellState.config().customers().keysRequired())
+        {
+            return CustomerSnapshot.EMPTY;
+        }
+        Map<String, Integer> waiting = new HashMap<>();
+        quotaUsage.customers().forEach(customer -> waiting.put(customer, 0));
+        cellState.waitingSteps().forEach(step -> waiting.merge(QuotaUsage.customerOf(step.job()),
+                step.waitingTasks().size(), Integer::sum));
+        return new CustomerSnapshot(
+                waiting.entrySet().stream().map(entry -> new CustomerSnapshot.Entry(entry.getKey(),
+                        placementOrder.shareOf(entry.getKey()), entry.getValue())).toList());
     }
 
     /** Returns whether a worker was reserved for the isolated run of a suspect in the latest round. */
@@ -186,31 +224,35 @@
         boolean waits = !allowsQuota(step);
         if (waits)
         {
-            String customer = step.job().record().customer();
-            plan.atQuota().put(customer, quotaUsage(step));
+            String customer = QuotaUsage.customerOf(step.job());
+            plan.atQuota().put(customer, "running: " + quotaUsage(step));
         }
         return waits;
     }
 
     private void preemptFor(Step step, Plan plan, long nowNanos)
     {
-        List<TrackedWorker> allowed = eligibleWorkers(step, nowNanos).stream()
-                .filter(worker -> tickets.isAllowed(step, worker)).toList();
-        Effects effects = preemption.preempt(step, allowed);
+        Effects effects = preemption.preempt(step, allowedWorkers(step, nowNanos));
         if (!effects.stops().isEmpty())
         {
             plan.preemptions().add(new PreemptionDecision(step, effects));
         }
     }
 
+    private List<TrackedWorker> allowedWorkers(Step step, long nowNanos)
+    {
+        return eligibleWorkers(step, nowNanos).stream().filter(worker -> tickets.isAllowed(step, worker))
+                .toList();
+    }
+
     /**
      * Returns whether to request advice for a step. Advice is requested if a task could start now;
      * otherwise it is prefetched so that preemption selects allowed workers and freed capacity is used
      * at once.
      */
-    private boolean shouldRequestAdvice(Step step, List<TrackedWorker> candidates)
+    private boolean shouldRequestAdvice(Step step, boolean hasRoom)
     {
-        return hasCapacityOnAny(step, candidates) && adviceBudget.acquireForFreeCapacity(step)
+        return hasRoom && adviceBudget.acquireForFreeCapacity(step)
                 || !tickets.isFresh(step) && adviceBudget.acquireForPrefetch(step);
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaUsage.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/QuotaUsage.java
@@ -5,19 +5,23 @@
 package org.gaugehollow.schedule;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
+import org.gaugehollow.fairness.FairShares;
 import org.gaugehollow.job.Customer;
 import org.gaugehollow.job.Customers;
 import org.gaugehollow.model.ComputeResources;
 
 /**
- * Tracks the compute resources that each customer uses on all workers and compares them with its
- * quota. A run counts from its planned start until its end is known; this includes unanswered
- * starts, runs on unresponsive workers whose lease has not expired, abandoned runs, runs being
- * stopped and orphan runs. Recomputed from the workers' state for each plan, so that no counter can
- * drift. Not thread-safe; guarded by the lock of the cell state.
+ * Tracks the compute resources that each customer uses on all workers, as the basis of its share,
+ * and compares them with its quota. Work without a customer has an account without a quota. A run
+ * counts from its planned start until its end is known; this includes unanswered starts, runs on
+ * unresponsive workers whose lease has not expired, abandoned runs, runs being stopped and orphan
+ * runs. Recomputed from the workers' state for each plan, so that no counter can drift. Not
+ * thread-safe; guarded by the lock of the cell state.
  *
  * <p>
  * A customer above its quota, for example after the quota was lowered, gets no new starts until its
@@ -88,11 +92,14 @@
     /** Adds the compute resources of one run of a step. */
     void add(Step step)
     {
-        String customer = step.job().record().customer();
-        if (customer != null)
-        {
-            accountOf(customer).add(step.needs());
-        }
+        accountOf(customerOf(step.job())).add(step.needs());
+    }
+
+    /** Returns the customer of a job, or {@link FairShares#NO_CUSTOMER}. */
+    static String customerOf(Job job)
+    {
+        String customer = job.record().customer();
+        return customer == null ? FairShares.NO_CUSTOMER : customer;
     }
 
     private Account accountOf(String customer)
@@ -111,14 +118,13 @@
      */
     boolean allows(Step step, int tasks)
     {
-        String customer = step.job().record().customer();
-        return customer == null || accountOf(customer).allows(step.needs(), tasks);
+        return accountOf(customerOf(step.job())).allows(step.needs(), tasks);
     }
 
     /**
      * Returns the compute resources in use by a customer.
      *
-     * @param customer the name of a customer
+     * @param customer the name of a customer, or {@link FairShares#NO_CUSTOMER}
      * @return its usage
      */
     ComputeResources usageOf(String customer)
@@ -127,4 +133,10 @@
         return new ComputeResources(0, Math.toIntExact(account.cpuMillis), Math.toIntExact(account.memoryMib),
                 Math.toIntExact(account.accelerators));
     }
+
+    /** Returns the names of all customers that use compute resources, or were asked for. */
+    Set<String> customers()
+    {
+        return Collections.unmodifiableSet(accounts.keySet());
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -134,6 +134,17 @@
         return label == null || label.isEmpty() || entry.labels().contains(label);
     }
 
+    /** Returns the number of tasks of the step that are on workers. */
+    int countOnWorkers()
+    {
+        int count = 0;
+        for (Task task : tasks)
+        {
+            count += task.isOnWorker() ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns the number of tasks of the step on a worker. */
     long countOn(TrackedWorker worker)
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
@@ -9,6 +9,8 @@
 import org.gaugehollow.time.SteadyClock;
 import org.junit.jupiter.api.Test;
 
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -63,4 +65,17 @@
                 .callMethod(SteadyClock.class, "nanos").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(CLASSES);
     }
+
+    @Test
+    void fairnessDependsOnNothingButModel()
+    {
+        ArchRuleDefinition.noClasses().that().resideInAPackage("..fairness..").should()
+                .dependOnClassesThat(JavaClass.Predicates.resideInAPackage("org.gaugehollow..")
+                        .and(DescribedPredicate.not(JavaClass.Predicates.resideInAnyPackage(
+                                "org.gaugehollow.fairness..", "org.gaugehollow.model.."))))
+                .orShould().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..").orShould()
+                .callMethod(System.class, "currentTimeMillis").check(CLASSES);
+        ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("..fairness..", "..schedule..").should()
+                .dependOnClassesThat().resideInAPackage("..fairness..").check(CLASSES);
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/QuotaMonitorTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CustomerWaitMonitorTest.java
@@ -12,25 +12,25 @@
 
 import org.gaugehollow.event.Event;
 import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.HybridClock;
-import org.gaugehollow.model.ComputeResources;
 import org.junit.jupiter.api.Test;
 
-/** Guards against repeated log events while a customer's work waits for its quota. */
-class QuotaMonitorTest
+/** Guards against repeated log events while a customer's work waits. */
+class CustomerWaitMonitorTest
 {
-    private static final Map<String, ComputeResources> NORTH = Map.of("north",
-            new ComputeResources(0, 1_000, 0, 0));
+    private static final Map<String, String> NORTH = Map.of("north", "running: 1 task");
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
-    private final QuotaMonitor monitor = new QuotaMonitor(events);
+    private final CustomerWaitMonitor monitor = new CustomerWaitMonitor(events, EventType.QUOTA_REACHED,
+            EventType.QUOTA_LEFT);
 
     private List<String> logged()
     {
         return events.since(0).stream().map(Event::name).toList();
     }
 
-    private void plan(Map<String, ComputeResources> atQuota, long millis)
+    private void plan(Map<String, String> atQuota, long millis)
     {
         monitor.onPlan(atQuota, TimeUnit.MILLISECONDS.toNanos(millis));
     }
