--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -188,6 +188,12 @@
         metrics.gauge("gaugehollow_stopped_core_milliseconds",
                 "Work lost by runs that were stopped to continue elsewhere, since the start of this box.",
                 "reason", election::stoppedCoreMillis);
+        metrics.gauge("gaugehollow_customer_share",
+                "Part of the cell that a customer uses, as a multiple of the part of its weight, for the largest.",
+                "customer", () -> election.customers().shares());
+        metrics.gauge("gaugehollow_customer_waiting_tasks",
+                "Tasks of a customer that are ready to start, for the customers with the largest shares.",
+                "customer", () -> election.customers().waitingTasks());
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -62,7 +62,8 @@
     private final AdviceCache adviceCache;
     private final Planner planner;
     private final SpeedReport speedReport;
-    private final QuotaMonitor quotaMonitor;
+    private final CustomerWaitMonitor quotaMonitor;
+    private final CustomerWaitMonitor shareMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
     private final OutlookMonitor outlookMonitor;
@@ -75,6 +76,7 @@
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
+    private volatile CustomerSnapshot customers = CustomerSnapshot.EMPTY;
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
@@ -91,7 +93,9 @@
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score, stopCosts);
         this.speedReport = new SpeedReport(cellState, planner, events);
-        this.quotaMonitor = new QuotaMonitor(events);
+        this.quotaMonitor = new CustomerWaitMonitor(events, EventType.QUOTA_REACHED, EventType.QUOTA_LEFT);
+        this.shareMonitor = new CustomerWaitMonitor(events, EventType.SHARE_EXCEEDED,
+                EventType.SHARE_RESTORED);
         long beginNanos = SteadyClock.nanos();
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
                 beginNanos);
@@ -227,6 +231,7 @@
             {
                 waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
                 outlooks = outlookMonitor.scan(cellState.activeJobs());
+                customers = planner.customers();
             }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
@@ -240,6 +245,7 @@
         expired.forEach(this::applyLoss);
         applyLoss(poisoned);
         quotaMonitor.onPlan(plan.atQuota(), SteadyClock.nanos());
+        shareMonitor.onPlan(plan.heldBack(), SteadyClock.nanos());
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
         outlookMonitor.report(outlooks);
@@ -466,6 +472,12 @@
         return speedReport.snapshot();
     }
 
+    /** Returns the shares and waiting tasks of the customers. */
+    CustomerSnapshot customers()
+    {
+        return customers;
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 
 import org.gaugehollow.job.AdviceSpec;
+import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
@@ -20,8 +21,8 @@
 import org.gaugehollow.urgency.StopCosts;
 
 /**
- * Assigns waiting tasks to workers. Jobs are processed in the order of {@link JobOrder}; each task
- * gets the eligible worker with sufficient free capacity and the best rating.
+ * Assigns waiting tasks to workers. Steps are processed in the order of {@link PlacementOrder};
+ * each task gets the eligible worker with sufficient free capacity and the best rating.
  */
 final class Planner
 {
@@ -45,9 +46,10 @@
      * @param needAdvice steps that need new advice before they can start
      * @param preemptions the runs to stop for more urgent steps
      * @param atQuota the compute resources in use, by customer whose work waits for its quota
+     * @param heldBack details by customer that is held back by its share
      */
     record Plan(List<Start> starts, List<Step> needAdvice, List<PreemptionDecision> preemptions,
-            Map<String, ComputeResources> atQuota)
+            Map<String, String> atQuota, Map<String, String> heldBack)
     {
     }
 
@@ -95,6 +97,8 @@
     private final CapacityReservations reservations = new CapacityReservations();
     private final SpeedNeeds speedNeeds;
     private final Preemption preemption;
+    private final OverdueRoom overdueRoom = new OverdueRoom(reservations);
+    private final PlacementOrder placementOrder = new PlacementOrder();
     private AdviceBudget adviceBudget = AdviceBudget.NONE;
     private QuotaUsage quotaUsage;
     private List<TrackedWorker> acceptingWorkers = List.of();
@@ -120,7 +124,8 @@
     /** Plans as many starts as the free capacity allows. */
     Plan plan(long nowNanos, long wallMillis)
     {
-        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>());
+        Plan plan = new Plan(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new HashMap<>(),
+                new HashMap<>());
         isolationWorkers = cellState.crashGuard().isolationWorkers();
         acceptingWorkers = cellState.workers().stream()
                 .filter(worker -> worker.acceptsStarts() && !isolationWorkers.contains(worker)).toList();
@@ -131,18 +136,31 @@
         speedNeeds.beginRound(acceptingWorkers);
         reservations.removeExpired(nowNanos);
         preemption.beginRound(cellState, nowNanos, wallMillis);
-        for (Job job : cellState.waitingByUrgency(wallMillis))
-        {
-            for (Step step : job.waitingSteps())
-            {
-                step.setSpeedFit(speedNeeds.fit(step, wallMillis));
-                planStep(step, plan, nowNanos);
-            }
-        }
+        planSteps(plan, nowNanos, wallMillis);
         prefetchNextSteps(plan, nowNanos, wallMillis);
         return plan;
     }
 
+    private void planSteps(Plan plan, long nowNanos, long wallMillis)
+    {
+        List<Job> jobs = cellState.waitingByUrgency(wallMillis);
+        PlacementOrder.Placer placer = (step, overdue) ->
+        {
+            step.setSpeedFit(speedNeeds.fit(step, wallMillis));
+            return planStep(step, overdue, plan, nowNanos);
+        };
+        Customers customers = cellState.config().customers();
+        if (!customers.keysRequired())
+        {
+            PlacementOrder.placeInOrder(jobs, placer);
+            return;
+        }
+        ComputeResources capacity = acceptingWorkers.stream().map(worker -> worker.entry().capacity())
+                .reduce(ComputeResources.NONE, ComputeResources::plus);
+        plan.heldBack().putAll(placementOrder.placeByShare(jobs, quotaUsage,
+                new PlacementOrder.Round(customers.weights(), capacity, nowNanos, wallMillis), placer));
+    }
+
     /**
      * Requests advice for steps that begin soon, so that they don't wait for a call. Jobs that can't be
      * in time are left out, and steps that could start now have consumed their share before.
@@ -175,11 +193,11 @@
                 advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS), advice.validMillis());
     }
 
-    private void planStep(Step step, Plan plan, long nowNanos)
+    private PlacementOrder.Outcome planStep(Step step, boolean overdue, Plan plan, long nowNanos)
     {
         if (waitsForQuota(step, plan))
         {
-            return;
+            return new PlacementOrder.Outcome(false, false, false);
         }
         List<TrackedWorker> candidates = workersWithCapacity(step, nowNanos);
         boolean needsTickets = step.job().queue().adviceIfNeeded().isPresent();
@@ -202,16 +220,23 @@
         }
         if (!step.hasWaiting() || waitsForQuota(step, plan))
         {
-            return;
+            return new PlacementOrder.Outcome(hasStarted, false, false);
         }
+        boolean hasRoom = hasCapacityOnAny(step, candidates);
+        boolean gangLacksRoom = step.spec().gang() && step.isIdle() && usable.size() == candidates.size();
         if (preemption.canPreempt(step))
         {
             preemptFor(step, plan, nowNanos);
         }
-        if (needsTickets && shouldRequestAdvice(step, candidates))
+        if (overdue && !hasStarted && (!hasRoom || gangLacksRoom))
+        {
+            overdueRoom.reserve(step, allowedWorkers(step, nowNanos), nowNanos);
+        }
+        if (needsTickets && shouldRequestAdvice(step, hasRoom))
         {
             plan.needAdvice().add(step);
         }
+        return new PlacementOrder.Outcome(hasStarted, true, !hasRoom || gangLacksRoom);
     }
 
     /** Returns whether the customer's quota allows further starts of a step in the latest round. */
@@ -223,7 +248,23 @@
     /** Returns the compute resources that the customer of a step used in the latest round. */
     ComputeResources quotaUsage(Step step)
     {
-        return quotaUsage.usageOf(step.job().record().customer());
+        return quotaUsage.usageOf(QuotaUsage.customerOf(step.job()));
+    }
+
+    /** Returns the shares and waiting tasks of the customers as of the latest round. */
+    CustomerSnapshot customers()
+    {
+        if (!cellState.config().customers().keysRequired())
+        {
+            return CustomerSnapshot.EMPTY;
+        }
+        Map<String, Integer> waiting = new HashMap<>();
+        quotaUsage.customers().forEach(customer -> waiting.put(customer, 0));
+        cellState.waitingSteps().forEach(step -> waiting.merge(QuotaUsage.customerOf(step.job()),
+                step.waitingTasks().size(), Integer::sum));
+        return new CustomerSnapshot(
+                waiting.entrySet().stream().map(entry -> new CustomerSnapshot.Entry(entry.getKey(),
+                        placementOrder.shareOf(entry.getKey()), entry.getValue())).toList());
     }
 
     /** Returns whether a worker was reserved for the isolated run of a suspect in the latest round. */
@@ -243,31 +284,35 @@
         boolean waits = !allowsQuota(step);
         if (waits)
         {
-            String customer = step.job().record().customer();
-            plan.atQuota().put(customer, quotaUsage(step));
+            String customer = QuotaUsage.customerOf(step.job());
+            plan.atQuota().put(customer, "running: " + quotaUsage(step));
         }
         return waits;
     }
 
     private void preemptFor(Step step, Plan plan, long nowNanos)
     {
-        List<TrackedWorker> allowed = eligibleWorkers(step, nowNanos).stream()
-                .filter(worker -> tickets.isAllowed(step, worker)).toList();
-        Effects effects = preemption.preempt(step, allowed);
+        Effects effects = preemption.preempt(step, allowedWorkers(step, nowNanos));
         if (!effects.stops().isEmpty())
         {
             plan.preemptions().add(new PreemptionDecision(step, effects));
         }
     }
 
+    private List<TrackedWorker> allowedWorkers(Step step, long nowNanos)
+    {
+        return eligibleWorkers(step, nowNanos).stream().filter(worker -> tickets.isAllowed(step, worker))
+                .toList();
+    }
+
     /**
      * Returns whether to request advice for a step. Advice is requested if a task could start now;
      * otherwise it is prefetched so that preemption selects allowed workers and freed capacity is used
      * at once. Nothing is prefetched for jobs that are too late, since the calls delay those of others.
      */
-    private boolean shouldRequestAdvice(Step step, List<TrackedWorker> candidates)
+    private boolean shouldRequestAdvice(Step step, boolean hasRoom)
     {
-        return hasCapacityOnAny(step, candidates) && adviceBudget.acquireForFreeCapacity(step)
+        return hasRoom && adviceBudget.acquireForFreeCapacity(step)
                 || step.job().latestOutlook() != Outlook.TOO_LATE && !tickets.isFresh(step)
                         && adviceBudget.acquireForPrefetch(step);
     }
