--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -7,30 +7,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import java.util.function.IntPredicate;
 
+import org.gaugehollow.admission.Work;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
 import org.gaugehollow.job.JobRecord;
 import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.LatencyObjective;
 import org.gaugehollow.job.QueueSpec;
-import org.gaugehollow.job.StepSpec;
 
 /** An accepted job in the cell state. Guarded by the lock of the cell state. */
 final class Job
 {
-    /** Multiple of its objective after which a job no longer benefits from planning ahead of others. */
-    private static final int MAX_LATE_FACTOR = 3;
-    /**
-     * Number of workers in a typical advice call, used to estimate the duration of the call. The users
-     * count one call for as many workers into the critical path for each step.
-     */
-    private static final int TYPICAL_ADVICE_WORKERS = 30;
-    /** Factor by which the actual duration may exceed the estimates. */
-    private static final double ESTIMATE_TOLERANCE = 1.5;
-
     private final JobRecord record;
     private final long criticalPathMillis;
+    private final long coreMillis;
     private final long acceptedRevision;
     /** Whether the job has due times or runs until it is cancelled, and so has no objective. */
     private final boolean openEnded;
@@ -47,9 +38,10 @@
         this.record = record;
         this.acceptedRevision = acceptedRevision;
         this.queue = record.queue();
-        this.criticalPathMillis = criticalPathMillis(record.job().steps(), step -> false);
-        this.openEnded = record.job().repeatCount() > 0
-                || record.job().steps().stream().anyMatch(StepSpec::longRunning);
+        this.criticalPathMillis = LatencyObjective.criticalPathMillis(record.job().steps(), queue,
+                step -> false);
+        this.coreMillis = Work.coreMillis(record.job());
+        this.openEnded = LatencyObjective.isOpenEnded(record.job());
     }
 
     /** Returns the steps of a repetition, which are created on first use. */
@@ -94,8 +86,8 @@
      */
     boolean isTooLate(long wallMillis)
     {
-        return !openEnded
-                && wallMillis - record.acceptedMillis() > MAX_LATE_FACTOR * tolerantObjectiveMillis();
+        return !openEnded && wallMillis - record.acceptedMillis() > LatencyObjective.MAX_LATE_FACTOR
+                * tolerantObjectiveMillis();
     }
 
     /**
@@ -104,12 +96,12 @@
      */
     private long tolerantObjectiveMillis()
     {
-        return objectiveMillis((long) (ESTIMATE_TOLERANCE * criticalPathMillis));
+        return LatencyObjective.tolerantMillis(queue, criticalPathMillis);
     }
 
-    private long objectiveMillis(long criticalPath)
+    private long objectiveMillis()
     {
-        return queue.targetMillis() + (long) (queue.stretch() * criticalPath);
+        return LatencyObjective.millis(queue, criticalPathMillis);
     }
 
     /**
@@ -119,13 +111,13 @@
      */
     long slackMillis(long wallMillis)
     {
-        return record.acceptedMillis() + objectiveMillis(criticalPathMillis) - remainingMillis() - wallMillis;
+        return record.acceptedMillis() + objectiveMillis() - remainingMillis() - wallMillis;
     }
 
     /** Returns the delay that the job could take at its acceptance, in milliseconds. */
     long initialSlackMillis()
     {
-        return objectiveMillis(criticalPathMillis) - criticalPathMillis;
+        return objectiveMillis() - criticalPathMillis;
     }
 
     /**
@@ -142,27 +134,31 @@
     private long remainingMillis()
     {
         List<Step> steps = round(0);
-        return criticalPathMillis(record.job().steps(), step -> steps.get(step).isDone());
+        return LatencyObjective.criticalPathMillis(record.job().steps(), queue,
+                step -> steps.get(step).isDone());
+    }
+
+    /** Returns the estimated work of the job, in core-milliseconds. */
+    long coreMillis()
+    {
+        return coreMillis;
     }
 
-    /** Returns the estimated critical path of the steps, without those excluded. */
-    private long criticalPathMillis(List<StepSpec> steps, IntPredicate isExcluded)
+    /**
+     * Returns the estimated work of the tasks that wait for a start or for other steps, in
+     * core-milliseconds. Long-running tasks count as no work, since it never ends.
+     */
+    long waitingCoreMillis()
     {
-        long[] ends = new long[steps.size()];
-        long adviceMillis = (long) queue.adviceIfNeeded()
-                .map(advice -> advice.expectedMillis(TYPICAL_ADVICE_WORKERS)).orElse(0.0).doubleValue();
-        long longest = 0;
-        for (int i = 0; i < ends.length; i++)
+        long sum = 0;
+        for (List<Step> round : rounds.values())
         {
-            long start = 0;
-            for (int dependency : steps.get(i).dependsOn())
+            for (Step step : round)
             {
-                start = Math.max(start, ends[dependency]);
+                sum += step.waitingCoreMillis();
             }
-            ends[i] = start + (isExcluded.test(i) ? 0 : steps.get(i).estimateMillis() + adviceMillis);
-            longest = Math.max(longest, ends[i]);
         }
-        return longest;
+        return sum;
     }
 
     /** Returns the steps with waiting tasks whose dependencies are done. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.gaugehollow.admission.Work;
 import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.ComputeResources;
@@ -77,6 +78,14 @@
         return tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING).toList();
     }
 
+    /**
+     * Returns the estimated work of the waiting tasks, in core-milliseconds; 0 if it never ends.
+     */
+    long waitingCoreMillis()
+    {
+        return spec.longRunning() ? 0 : Work.coreMillis(needs, waitingTasks().size(), spec.estimateMillis());
+    }
+
     /** Returns whether no task of the step is on a worker. */
     boolean isIdle()
     {
