--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -37,6 +37,7 @@
 import org.gaugehollow.schedule.OwnerElection;
 import org.gaugehollow.schedule.OwnerMonitor;
 import org.gaugehollow.schedule.OwnerWarmup;
+import org.gaugehollow.schedule.TimedBacklog;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
 
@@ -71,6 +72,7 @@
     private final BoxRegistry registry;
     private final OwnerMonitor ownerMonitor;
     private final OwnerElection election;
+    private final AdmissionControl admission;
     private final PeerDirectory peerDirectory;
     private final PeerServer peerServer;
     private final HttpServer callerServer;
@@ -129,11 +131,14 @@
         this.registry = new BoxRegistry(id,
                 new BoxRegistry.Entry(settings.peerAddress(), settings.processorMillis()), store,
                 peerDirectory, adviceDispatcher, events);
-        this.ownerMonitor = new OwnerMonitor(new PeerOwnerProbe(registry), store::isStable,
+        this.ownerMonitor = new OwnerMonitor(new PeerOwnerProbe(registry, this::onBacklog), store::isStable,
                 registry::isOutranked, SteadyClock::nanos);
         this.election = new OwnerElection(id, platform, config, ownerMonitor, registry, adviceDispatcher,
                 SCORE, supervisor.child("owner"), settings.statusSeconds(), events);
-        JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), events, metrics);
+        this.admission = new AdmissionControl(election::backlog, election::owner,
+                () -> registry.peers().size() + 1, SteadyClock::nanos, events);
+        JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), admission, events,
+                metrics);
         CallerService service = new FreshConfigService(serviceFactory.create(config, intake), configProbe);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 call -> handlePeerCall(call, service));
@@ -168,6 +173,11 @@
         };
     }
 
+    private void onBacklog(TimedBacklog backlog)
+    {
+        admission.onBacklog(backlog);
+    }
+
     private void registerGauges()
     {
         metrics.gauge("gaugehollow_owner", "1 where this box owns the cell.",
@@ -179,6 +189,12 @@
                 "reason", () -> election.waits().tasksByLabel());
         metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
                 () -> election.waits().longestSecondsByLabel());
+        metrics.gauge("gaugehollow_expected_wait_seconds",
+                "Expected wait of the newest submission of a queue in the last seconds, by queue.", "queue",
+                admission::expectedWaitSeconds);
+        metrics.gauge("gaugehollow_backlog_age_seconds",
+                "Age of the owner's account of the waiting work; 0 if there is none.",
+                admission::accountAgeSeconds);
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -6,6 +6,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -47,6 +48,7 @@
 
     private final MonitoredStore store;
     private final JobListener listener;
+    private final Admission admission;
     private final EventLog events;
     private final Metrics metrics;
 
@@ -58,6 +60,13 @@
      */
     public JobIntake(MonitoredStore store, JobListener listener, EventLog events, Metrics metrics)
     {
+        this(store, listener, Admission.OPEN, events, metrics);
+    }
+
+    JobIntake(MonitoredStore store, JobListener listener, Admission admission, EventLog events,
+            Metrics metrics)
+    {
+        this.admission = admission;
         this.store = store;
         this.listener = listener;
         this.events = events;
@@ -105,9 +114,10 @@
      * @param job specification of the job
      * @param deadlineNanos the caller's deadline on {@link SteadyClock#nanos}
      * @throws InterruptedException if the thread is interrupted
-     * @throws GaugehollowException {@code STORE_UNAVAILABLE} if this call did not and will not accept
-     *             the job, {@code STORE_OUTCOME_UNKNOWN} if it may have accepted it or may still do so,
-     *             {@code JOB_CONFLICT} if the id belongs to another customer's job
+     * @throws GaugehollowException {@code STORE_UNAVAILABLE} or {@code BACKLOG_TOO_LONG} if this call
+     *             did not and will not accept the job, {@code STORE_OUTCOME_UNKNOWN} if it may have
+     *             accepted it or may still do so, {@code JOB_CONFLICT} if the id belongs to another
+     *             customer's job
      */
     public void submit(JobScope scope, String id, JobSpec job, long deadlineNanos) throws InterruptedException
     {
@@ -118,6 +128,11 @@
             throws InterruptedException
     {
         requireResponsiveStore(id);
+        Optional<Admission.Refusal> refusal = admission.decide(scope, job, deadlineNanos);
+        if (refusal.isPresent() && isKnownAbsent(id))
+        {
+            throw refusedFor(refusal.get(), scope, id);
+        }
         byte[] record = JobCodec.writeRecord(
                 new JobRecord(id, scope.queue(), job, System.currentTimeMillis(), scope.customer()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
@@ -129,12 +144,46 @@
         {
             requireSameCustomer(scope, id);
         }
+        if (created[0])
+        {
+            admission.onAccepted(scope, job);
+        }
         listener.onJobWritten(id);
         events.record(EventType.JOB_ACCEPTED, id, scope.queue().name() + customerSuffix(scope.customer())
                 + (created[0] ? "" : ", already known"));
         return created[0];
     }
 
+    /**
+     * Returns whether the store confirms that there is no record of the job. An accepted job must not
+     * be refused when it is submitted again; without an answer nothing can be promised.
+     */
+    private boolean isKnownAbsent(String id) throws InterruptedException
+    {
+        try
+        {
+            return HedgedCall.read(() -> store.get(JobKeys.job(id))).isEmpty();
+        }
+        catch (GaugehollowException e)
+        {
+            events.record(EventType.JOB_REFUSED, id,
+                    "not refused for the backlog, since its record can't be read: " + e.getMessage());
+            return false;
+        }
+    }
+
+    private GaugehollowException refusedFor(Admission.Refusal refusal, JobScope scope, String id)
+    {
+        int retrySeconds = refusal.retryDelay().getAsInt();
+        metrics.jobsRefused().labelValues(scope.queue().name()).inc();
+        events.record(EventType.JOB_REFUSED, id,
+                ResultCode.BACKLOG_TOO_LONG + ": " + scope.queue().name() + customerSuffix(scope.customer())
+                        + ", " + refusal.inputs() + ", retry after " + retrySeconds + " s");
+        return new GaugehollowException(ResultCode.BACKLOG_TOO_LONG,
+                "too much work waits; this request changed nothing",
+                (int) TimeUnit.SECONDS.toMillis(retrySeconds));
+    }
+
     private static String customerSuffix(String customer)
     {
         return customer == null ? "" : " of " + customer;
--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
@@ -4,7 +4,9 @@
  */
 package org.gaugehollow.box;
 
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 import org.gaugehollow.peer.generated.PeerProtocol.OwnerCall;
@@ -12,6 +14,8 @@
 import org.gaugehollow.schedule.OwnerElection;
 import org.gaugehollow.schedule.OwnerMonitor;
 import org.gaugehollow.schedule.OwnerProbe;
+import org.gaugehollow.schedule.TimedBacklog;
+import org.gaugehollow.time.SteadyClock;
 
 /** Probes registered boxes for the state of the owner, and answers such probes. */
 final class PeerOwnerProbe implements OwnerProbe
@@ -19,10 +23,20 @@
     private static final int NETWORK_MARGIN_MILLIS = 300;
 
     private final BoxRegistry registry;
+    private final BacklogListener backlogListener;
 
-    PeerOwnerProbe(BoxRegistry registry)
+    /** Notified of the owner's account of the waiting work. */
+    @FunctionalInterface
+    interface BacklogListener
+    {
+        /** Handles a reply of the owner; without an account, no work waits. */
+        void onBacklog(TimedBacklog backlog);
+    }
+
+    PeerOwnerProbe(BoxRegistry registry, BacklogListener backlogListener)
     {
         this.registry = registry;
+        this.backlogListener = backlogListener;
     }
 
     @Override
@@ -45,8 +59,13 @@
     private Result probeOnce(String box, String owner, int waitMillis) throws InterruptedException
     {
         OwnerCall.Builder call = OwnerCall.newBuilder().setOwner(owner).setWaitMillis(waitMillis);
-        return registry.call(box, Frame.newBuilder().setOwner(call), waitMillis + NETWORK_MARGIN_MILLIS)
-                .map(Frame::getOwnerReply).map(PeerOwnerProbe::toResult).orElse(Result.UNREACHED);
+        long sentNanos = SteadyClock.nanos();
+        Optional<OwnerReply> reply = registry
+                .call(box, Frame.newBuilder().setOwner(call), waitMillis + NETWORK_MARGIN_MILLIS)
+                .map(Frame::getOwnerReply);
+        reply.filter(OwnerReply::getIsOwner).ifPresent(answer -> backlogListener.onBacklog(
+                BacklogCodec.read(answer, owner, sentNanos + TimeUnit.MILLISECONDS.toNanos(waitMillis))));
+        return reply.map(PeerOwnerProbe::toResult).orElse(Result.UNREACHED);
     }
 
     private static Result toResult(OwnerReply reply)
@@ -63,9 +82,13 @@
         {
             Thread.sleep(call.getWaitMillis());
         }
-        return Frame.newBuilder()
-                .setOwnerReply(OwnerReply.newBuilder().setIsOwner(isOwner)
-                        .setUnconfirmedMillis(election.unconfirmedMillis())
-                        .setSilent(monitor.isOwnerUnresponsive(call.getOwner())));
+        OwnerReply.Builder reply = OwnerReply.newBuilder().setIsOwner(isOwner)
+                .setUnconfirmedMillis(election.unconfirmedMillis())
+                .setSilent(monitor.isOwnerUnresponsive(call.getOwner()));
+        if (isOwner)
+        {
+            BacklogCodec.write(election.backlog(), SteadyClock.nanos()).ifPresent(reply::setBacklog);
+        }
+        return Frame.newBuilder().setOwnerReply(reply);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/Metrics.java
@@ -50,6 +50,9 @@
             .help("Bytes sent to peers, by kind of call.").labelNames("kind").register(registry);
     private final Counter events = Counter.builder().name("gaugehollow_events_total")
             .help("Logged events, by name.").labelNames("event").register(registry);
+    private final Counter jobsRefused = Counter.builder().name("gaugehollow_jobs_refused_total")
+            .help("Jobs refused because too much work waits, by queue.").labelNames("queue")
+            .register(registry);
     private final Counter retries = Counter.builder().name("gaugehollow_retries_total")
             .help("Tries after a task was not run, by what became of the wish.").labelNames("result")
             .register(registry);
@@ -101,6 +104,12 @@
         return peerBytes;
     }
 
+    /** @return counter of jobs refused because too much work waits */
+    public Counter jobsRefused()
+    {
+        return jobsRefused;
+    }
+
     /** @return counter of retries */
     public Counter retries()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/model/GaugehollowException.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/GaugehollowException.java
@@ -10,6 +10,7 @@
     private static final long serialVersionUID = 1L;
 
     private final ResultCode code;
+    private final int retryAfterMillis;
 
     /**
      * @param code result code
@@ -17,8 +18,7 @@
      */
     public GaugehollowException(ResultCode code, String message)
     {
-        super(message);
-        this.code = code;
+        this(code, message, code.retryAfterMillis());
     }
 
     /**
@@ -30,6 +30,26 @@
     {
         super(message, cause);
         this.code = code;
+        this.retryAfterMillis = code.retryAfterMillis();
+    }
+
+    /**
+     * @param code result code
+     * @param message detail message
+     * @param retryAfterMillis delay in milliseconds after which a retry may succeed; 0 if a retry does
+     *            not help
+     */
+    public GaugehollowException(ResultCode code, String message, int retryAfterMillis)
+    {
+        super(message);
+        this.code = code;
+        this.retryAfterMillis = retryAfterMillis;
+    }
+
+    /** @return delay in milliseconds after which a retry may succeed; 0 if a retry does not help */
+    public int retryAfterMillis()
+    {
+        return retryAfterMillis;
     }
 
     /** @return result code */
--- a/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/model/ResultCode.java
@@ -61,6 +61,8 @@
             "The number of waiting jobs is unknown because no box currently owns the cell."),
     CONFIG_MAY_BE_OLD(3014, 503, Outcome.NOT_RUN, 1000,
             "The store does not answer this box, so its configuration may be out of date."),
+    BACKLOG_TOO_LONG(3015, 503, Outcome.NOT_RUN, 1000,
+            "The waiting work would delay the job until its result is of no use."),
 
     OUTCOME_UNKNOWN(4001, 502, Outcome.UNKNOWN, 1000,
             "The connection to the upstream ended before the complete answer arrived."),
--- a/gaugehollow/src/main/java/org/gaugehollow/net/HttpReply.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/net/HttpReply.java
@@ -96,6 +96,6 @@
      */
     public static HttpReply error(GaugehollowException e)
     {
-        return error(e.code(), e.getMessage());
+        return error(e.code(), e.getMessage(), e.retryAfterMillis());
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerLink.java
@@ -20,6 +20,7 @@
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.net.NetAddress;
 import org.gaugehollow.net.NetLoops;
+import org.gaugehollow.peer.generated.PeerProtocol.ErrorReply;
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 import org.gaugehollow.time.SteadyClock;
 
@@ -119,12 +120,20 @@
         events.clock().observe(reply.getHybridTime());
         if (reply.getBodyCase() == Frame.BodyCase.ERROR)
         {
-            throw new GaugehollowException(ResultCode.ofNumber(reply.getError().getCode()),
-                    reply.getError().getMessage());
+            throw toException(reply.getError());
         }
         return reply;
     }
 
+    /** Boxes of earlier versions send no delay; then that of the code applies. */
+    private static GaugehollowException toException(ErrorReply error)
+    {
+        ResultCode code = ResultCode.ofNumber(error.getCode());
+        return error.getRetryAfterMillis() == 0
+                ? new GaugehollowException(code, error.getMessage())
+                : new GaugehollowException(code, error.getMessage(), error.getRetryAfterMillis());
+    }
+
     /**
      * Waits for an open connection and adds the call to it. Concurrent calls share one connection
      * attempt. The second attempt replaces a connection that was closed before it took the call.
--- a/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/peer/PeerServer.java
@@ -117,7 +117,7 @@
         }
         catch (GaugehollowException e)
         {
-            reply = errorOf(e.code(), e.getMessage());
+            reply = errorOf(e);
         }
         catch (InterruptedException e)
         {
@@ -127,7 +127,7 @@
         catch (RuntimeException e)
         {
             events.record(EventType.INTERNAL_FAULT, call.getBodyCase().name(), String.valueOf(e));
-            reply = errorOf(ResultCode.INTERNAL, "internal error");
+            reply = errorOf(new GaugehollowException(ResultCode.INTERNAL, "internal error"));
         }
         finally
         {
@@ -149,10 +149,10 @@
         });
     }
 
-    private static Frame.Builder errorOf(ResultCode code, String message)
+    private static Frame.Builder errorOf(GaugehollowException e)
     {
-        ErrorReply.Builder error = ErrorReply.newBuilder().setCode(code.number())
-                .setMessage(String.valueOf(message));
+        ErrorReply.Builder error = ErrorReply.newBuilder().setCode(e.code().number())
+                .setMessage(String.valueOf(e.getMessage())).setRetryAfterMillis(e.retryAfterMillis());
         return Frame.newBuilder().setError(error);
     }
 
@@ -174,7 +174,8 @@
             }
             if (!openCalls.tryAcquire())
             {
-                send(ctx.channel(), call, errorOf(ResultCode.QUEUE_FULL, "too many open calls"));
+                send(ctx.channel(), call,
+                        errorOf(new GaugehollowException(ResultCode.QUEUE_FULL, "too many open calls")));
                 return;
             }
             callsInProgress.incrementAndGet();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 
+import org.gaugehollow.admission.CompletionRate;
 import org.gaugehollow.job.Cancellation;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobProgress;
@@ -45,6 +46,7 @@
     private final RunEndHandler runEnds;
     private final JobRestoration restoration;
     private final WeightLimiter weightLimiter = new WeightLimiter();
+    private final CompletionRate completions = new CompletionRate();
     /** Jobs accepted since the last planning round, which are not yet classified by weight. */
     private final List<Job> unclassifiedJobs = new ArrayList<>();
     private CellConfig config = CellConfig.NONE;
@@ -399,6 +401,24 @@
         return lowestPriority;
     }
 
+    /** Returns all jobs that are not yet removed, ended or not. */
+    Collection<Job> jobs()
+    {
+        return jobs.values();
+    }
+
+    /** Returns the customers whose next job exceeds their weight. */
+    Set<String> customersAtWeight(long wallMillis)
+    {
+        return weightLimiter.customersAtWeight(config.customers(), wallMillis);
+    }
+
+    /** Returns the measured rate of completed work. */
+    CompletionRate completions()
+    {
+        return completions;
+    }
+
     /** Returns the number of jobs per queue that have not started, without repeated jobs. */
     Map<String, Integer> countQueuedJobs()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -467,6 +467,15 @@
         return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
     }
 
+    /**
+     * @return the newest account of the waiting work in the current term; empty if nothing waits or
+     *         this box is not the owner
+     */
+    public TimedBacklog backlog()
+    {
+        return currentTerm.map(OwnerTerm::backlog).orElse(TimedBacklog.NONE);
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -63,11 +63,13 @@
     private final QuotaMonitor quotaMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
+    private final BacklogScan backlogScan;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
     private final UnresponsiveWorkerGuard unresponsiveWorkerGuard;
     private final Semaphore wakeUps = new Semaphore(0);
+    private volatile TimedBacklog backlog = TimedBacklog.NONE;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
@@ -90,6 +92,7 @@
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
                 beginNanos);
         this.waitMonitor = new WaitMonitor(events, lease, beginNanos);
+        this.backlogScan = new BacklogScan(cellState, planner, lease);
         this.evacuation = new Evacuation(cellState);
         this.stallGuard = new StallGuard(cellState);
         this.slowWorkerGuard = new SlowWorkerGuard(cellState);
@@ -218,6 +221,11 @@
             {
                 waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
             }
+            if (backlogScan.isDue(scanNanos))
+            {
+                backlog = new TimedBacklog(backlogScan.scan(scanNanos, System.currentTimeMillis()),
+                        scanNanos);
+            }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
@@ -445,6 +453,12 @@
         return waitMonitor.snapshot();
     }
 
+    /** Returns the newest account of the waiting work. */
+    TimedBacklog backlog()
+    {
+        return backlog;
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
@@ -6,6 +6,7 @@
 
 import java.util.function.LongSupplier;
 
+import org.gaugehollow.admission.Work;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.worker.HeartbeatReply.EndedRun;
 import org.gaugehollow.worker.RunEnd;
@@ -54,6 +55,7 @@
         CellState.saveCheckpoint(task, end.checkpoint());
         if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
         {
+            recordCompletion(task);
             handleSuccess(task, worker, nanoTime.getAsLong());
         }
         else
@@ -100,6 +102,15 @@
         CellState.completeIfAllDone(task.step().job(), effects);
     }
 
+    /** Records the work of a completed task; one end stands for all tasks of a gang. */
+    private void recordCompletion(Task task)
+    {
+        Step step = task.step();
+        cellState.completions().add(step.job().queue().service(),
+                Work.coreMillis(step.needs(), step.tasksToStartTogether(), step.spec().estimateMillis()),
+                nanoTime.getAsLong());
+    }
+
     private static void handleSuccess(Task task, TrackedWorker worker, long nowNanos)
     {
         worker.health().recordSuccess();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WeightLimiter.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WeightLimiter.java
@@ -9,7 +9,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.gaugehollow.job.Customer;
 import org.gaugehollow.job.Customers;
@@ -45,6 +47,33 @@
         }
     }
 
+    /**
+     * Returns the customers whose next job exceeds their weight.
+     *
+     * @param customers the customers of the newest configuration
+     * @param wallMillis the wall-clock time, in milliseconds since 1970
+     * @return the names of the customers
+     */
+    Set<String> customersAtWeight(Customers customers, long wallMillis)
+    {
+        return acceptedWithinWeight.keySet().stream()
+                .filter(name -> customers.findByName(name)
+                        .filter(customer -> recentCount(name, wallMillis) >= customer.weight()).isPresent())
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the number of jobs within the weight in the window that ends at the given time. */
+    private int recentCount(String customer, long endMillis)
+    {
+        int recent = 0;
+        for (int count : acceptedWithinWeight.get(customer)
+                .subMap(endMillis - WINDOW_MILLIS, false, endMillis, true).values())
+        {
+            recent += count;
+        }
+        return recent;
+    }
+
     /**
      * Returns whether the job is within the customer's weight over the window that precedes it, and
      * counts it if so.
@@ -54,12 +83,7 @@
         TreeMap<Long, Integer> counts = acceptedWithinWeight.computeIfAbsent(customer.name(),
                 name -> new TreeMap<>());
         long accepted = job.record().acceptedMillis();
-        int recent = 0;
-        for (int count : counts.subMap(accepted - WINDOW_MILLIS, false, accepted, true).values())
-        {
-            recent += count;
-        }
-        if (recent >= customer.weight())
+        if (recentCount(customer.name(), accepted) >= customer.weight())
         {
             return false;
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/PeerOwnerProbeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerOwnerProbeTest.java
@@ -9,15 +9,21 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.admission.BacklogAccount;
+import org.gaugehollow.admission.ServiceCapacity;
+import org.gaugehollow.admission.WaitingClass;
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.Json;
+import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.net.NetAddress;
 import org.gaugehollow.net.NetLoops;
 import org.gaugehollow.peer.PeerDirectory;
@@ -27,6 +33,7 @@
 import org.gaugehollow.peer.generated.PeerProtocol.OwnerReply;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.schedule.AdviceDispatcher;
+import org.gaugehollow.schedule.TimedBacklog;
 import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.worker.Advice;
 import org.junit.jupiter.api.AfterEach;
@@ -46,7 +53,8 @@
     private final BoxRegistry registry = new BoxRegistry("self", new BoxRegistry.Entry("127.0.0.1:2", 700),
             new FakeStore(), directory,
             new AdviceDispatcher((step, workers, timeout) -> new Advice(List.of(), 0), events), events);
-    private final PeerOwnerProbe probe = new PeerOwnerProbe(registry);
+    private final List<TimedBacklog> backlogs = new ArrayList<>();
+    private final PeerOwnerProbe probe = new PeerOwnerProbe(registry, backlogs::add);
 
     @AfterEach
     void close()
@@ -81,6 +89,36 @@
         }
     }
 
+    /** Guards against deciding on an account whose age or content changed on its way. */
+    @Test
+    void accountOfTheOwnerArrivesWithItsAge() throws Exception
+    {
+        BacklogAccount account = new BacklogAccount(OWNER, 7,
+                List.of(new WaitingClass("service", 2, true, false, 90_000, 3, 500)),
+                List.of(new ServiceCapacity("service", new ComputeResources(0, 500, 100, 1), 900, 4_500,
+                        8_000)),
+                Set.of("loud"));
+        long takenNanos = SteadyClock.nanos();
+        try (PeerServer server = new PeerServer(loops, new InetSocketAddress("127.0.0.1", 0), events, call ->
+        {
+            Frame.Builder reply = answerAsOwner(call);
+            reply.setOwnerReply(reply.getOwnerReply().toBuilder()
+                    .setBacklog(BacklogCodec
+                            .write(new TimedBacklog(Optional.of(account), takenNanos), SteadyClock.nanos())
+                            .orElseThrow()));
+            return reply;
+        }))
+        {
+            register(server.address());
+            probe.probe(OWNER, OWNER, HOLD_MILLIS);
+        }
+        assertThat(backlogs).hasSize(1);
+        assertThat(backlogs.getFirst().account()).hasValue(account);
+        assertThat(backlogs.getFirst().nanos()).isAtMost(takenNanos + TimeUnit.MILLISECONDS.toNanos(1));
+        assertThat(backlogs.getFirst().nanos())
+                .isGreaterThan(takenNanos - TimeUnit.MILLISECONDS.toNanos(DETECTION_MILLIS));
+    }
+
     @Test
     void ownerThatNeverAnswersIsNotReached() throws Exception
     {
