--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobSpec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobSpec.java
@@ -64,4 +64,10 @@
     {
         return Math.max(1, repeatCount);
     }
+
+    /** @return whether the job has due times or runs until it is cancelled, and so has no objective */
+    public boolean hasOpenEnd()
+    {
+        return repeatCount > 0 || steps.stream().anyMatch(StepSpec::longRunning);
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.IntPredicate;
 
-import org.gaugehollow.job.AdviceSpec;
+import org.gaugehollow.admission.Work;
+import org.gaugehollow.job.CriticalPath;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
 import org.gaugehollow.job.JobRecord;
@@ -24,9 +24,9 @@
 /** An accepted job in the cell state. Guarded by the lock of the cell state. */
 final class Job
 {
-
     private final JobRecord record;
     private final long criticalPathMillis;
+    private final long coreMillis;
     private final long acceptedRevision;
     /** Whether the job has due times or runs until it is cancelled, and so has no objective. */
     private final boolean openEnded;
@@ -45,9 +45,9 @@
         this.record = record;
         this.acceptedRevision = acceptedRevision;
         this.queue = record.queue();
-        this.criticalPathMillis = criticalPathMillis(record.job().steps(), step -> false);
-        this.openEnded = record.job().repeatCount() > 0
-                || record.job().steps().stream().anyMatch(StepSpec::longRunning);
+        this.criticalPathMillis = CriticalPath.millis(record.job().steps(), queue, step -> false);
+        this.coreMillis = Work.coreMillis(record.job());
+        this.openEnded = record.job().hasOpenEnd();
     }
 
     /** Returns the steps of a repetition, which are created on first use. */
@@ -170,7 +170,7 @@
     long remainingMillis(int round)
     {
         List<Step> steps = round(round);
-        return criticalPathMillis(record.job().steps(), step -> steps.get(step).isDone());
+        return CriticalPath.millis(record.job().steps(), queue, step -> steps.get(step).isDone());
     }
 
     private long remainingMillis()
@@ -178,24 +178,27 @@
         return remainingMillis(0);
     }
 
-    /** Returns the estimated critical path of the steps, without those excluded. */
-    private long criticalPathMillis(List<StepSpec> steps, IntPredicate isExcluded)
+    /** Returns the estimated work of the job, in core-milliseconds. */
+    long coreMillis()
+    {
+        return coreMillis;
+    }
+
+    /**
+     * Returns the estimated work of the tasks that wait for a start or for other steps, in
+     * core-milliseconds. Long-running tasks count as no work, since it never ends.
+     */
+    long waitingCoreMillis()
     {
-        long[] ends = new long[steps.size()];
-        long adviceMillis = (long) queue.adviceIfNeeded()
-                .map(advice -> advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS)).orElse(0.0).doubleValue();
-        long longest = 0;
-        for (int i = 0; i < ends.length; i++)
+        long sum = 0;
+        for (List<Step> round : rounds.values())
         {
-            long start = 0;
-            for (int dependency : steps.get(i).dependsOn())
+            for (Step step : round)
             {
-                start = Math.max(start, ends[dependency]);
+                sum += step.waitingCoreMillis();
             }
-            ends[i] = start + (isExcluded.test(i) ? 0 : steps.get(i).estimateMillis() + adviceMillis);
-            longest = Math.max(longest, ends[i]);
         }
-        return longest;
+        return sum;
     }
 
     /** Returns the steps with waiting tasks whose dependencies are done. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -67,12 +67,14 @@
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
     private final OutlookMonitor outlookMonitor;
+    private final BacklogScan backlogScan;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
     private final UnresponsiveWorkerGuard unresponsiveWorkerGuard;
     private final Semaphore wakeUps = new Semaphore(0);
     private final StoppedWork stoppedWork;
+    private volatile TimedBacklog backlog = TimedBacklog.NONE;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
@@ -101,6 +103,7 @@
                 beginNanos);
         this.waitMonitor = new WaitMonitor(events, lease, beginNanos);
         this.outlookMonitor = new OutlookMonitor(events);
+        this.backlogScan = new BacklogScan(cellState, planner, lease);
         this.evacuation = new Evacuation(cellState);
         this.stallGuard = new StallGuard(cellState);
         this.slowWorkerGuard = new SlowWorkerGuard(cellState, stopCosts);
@@ -233,6 +236,11 @@
                 outlooks = outlookMonitor.scan(cellState.activeJobs());
                 customers = planner.customers();
             }
+            if (backlogScan.isDue(scanNanos))
+            {
+                backlog = new TimedBacklog(backlogScan.scan(scanNanos, System.currentTimeMillis()),
+                        scanNanos);
+            }
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
@@ -478,6 +486,12 @@
         return customers;
     }
 
+    /** Returns the newest account of the waiting work. */
+    TimedBacklog backlog()
+    {
+        return backlog;
+    }
+
     OwnerLease lease()
     {
         return lease;
--- a/gaugehollow/src/main/java/org/gaugehollow/urgency/Objective.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/urgency/Objective.java
@@ -16,9 +16,9 @@
 public record Objective(long targetMillis, double stretch, long criticalPathMillis)
 {
     /** Multiple of the objective after which the end of a job brings no benefit. */
-    private static final int MAX_LATE_FACTOR = 3;
+    public static final int MAX_LATE_FACTOR = 3;
     /** Factor by which the actual duration may exceed the estimates. */
-    private static final double ESTIMATE_TOLERANCE = 1.5;
+    public static final double ESTIMATE_TOLERANCE = 1.5;
 
     /**
      * Returns the outlook of a job. Each bound grows with a factor, so the outlook only gets worse
@@ -35,11 +35,11 @@
         {
             return Outlook.IN_TIME;
         }
-        if (endMillis <= millis(ESTIMATE_TOLERANCE))
+        if (endMillis <= tolerantMillis())
         {
             return Outlook.UNCERTAIN;
         }
-        return endMillis <= MAX_LATE_FACTOR * millis(ESTIMATE_TOLERANCE) ? Outlook.LATE : Outlook.TOO_LATE;
+        return endMillis <= MAX_LATE_FACTOR * tolerantMillis() ? Outlook.LATE : Outlook.TOO_LATE;
     }
 
     /**
@@ -60,6 +60,12 @@
         return millis(1);
     }
 
+    /** @return the objective if the estimates are too low by the tolerated factor, in milliseconds */
+    public long tolerantMillis()
+    {
+        return millis(ESTIMATE_TOLERANCE);
+    }
+
     /** @return time after which the end of the job brings no benefit, in milliseconds */
     public long usefulMillis()
     {
