--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -179,6 +179,18 @@
                 "reason", () -> election.waits().tasksByLabel());
         metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
                 () -> election.waits().longestSecondsByLabel());
+        registerCopyGauges();
+    }
+
+    private void registerCopyGauges()
+    {
+        metrics.gauge("gaugehollow_copies_started", "Second runs of tasks that this box has started.",
+                () -> election.copyStatistics().started());
+        metrics.gauge("gaugehollow_copies_won", "Second runs that completed their tasks.",
+                () -> election.copyStatistics().won());
+        metrics.gauge("gaugehollow_copies_wasted_core_seconds",
+                "Work of runs that did not count because the task had a second run, in core-seconds.",
+                () -> election.copyStatistics().wastedCoreSeconds());
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -44,20 +44,31 @@
     /**
      * Progress of one task.
      *
-     * @param run the highest number of a run that may have been started, 0 for none
+     * @param run the number of the latest run that may have been started, 0 for none
      * @param failures the number of failed runs
      * @param done whether a run has succeeded
      * @param worker the worker on which the run may be active, or null
      * @param checkpoint the latest known checkpoint, or null
      * @param crashes the workers that crashed during runs of the task, or null if there are none
+     * @param copy the task's second run, or null if there is none; its number may be the higher one
      */
     public record TaskProgress(int run, int failures, boolean done, String worker, String checkpoint,
-            CrashHistory crashes)
+            CrashHistory crashes, CopyProgress copy)
     {
-        /** Creates the progress of a task without crashes. */
+        /** Creates the progress of a task without crashes and without a second run. */
         public TaskProgress(int run, int failures, boolean done, String worker, String checkpoint)
         {
-            this(run, failures, done, worker, checkpoint, null);
+            this(run, failures, done, worker, checkpoint, null, null);
         }
     }
+
+    /**
+     * Progress of a task's second run, which may exist beside its latest one.
+     *
+     * @param run the run number
+     * @param worker the worker on which the run may be active, or null if it has ended
+     */
+    public record CopyProgress(int run, String worker)
+    {
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -266,7 +266,7 @@
      */
     static void release(Task task, Effects effects)
     {
-        task.release();
+        releaseRun(task, effects);
         Job job = task.step().job();
         completeIfAllDone(job, effects);
         if (job.state().isFinal())
@@ -275,6 +275,17 @@
         }
     }
 
+    /** Releases a task, or a copy that ends without completing its task, from its worker. */
+    static void releaseRun(Task run, Effects effects)
+    {
+        if (run.isCopy() && !run.task().hasSucceeded())
+        {
+            effects.addSettledCopy(run, false);
+        }
+        run.release();
+    }
+
+    /** Completes a job all of whose steps are done. */
     static void completeIfAllDone(Job job, Effects effects)
     {
         if (job.areAllStepsDone())
@@ -323,18 +334,19 @@
             Set<Task> reportedTasks, Effects effects)
     {
         Task task = findTask(run.task());
-        if (task == null || !task.isAt(worker, run.run()))
+        Task known = task == null ? null : task.findRun(worker, run.run());
+        if (known == null)
         {
             worker.addOrphanRun(task == null ? null : task.step());
             effects.stopOrphanRun(worker, run.task(), run.run());
             return;
         }
         long now = nanoTime.getAsLong();
-        reportedTasks.add(task);
-        task.markRunning(now);
-        task.onListed(sentNanos);
-        task.observe(run.percent(), run.gauge(), now);
-        saveCheckpoint(task, run.checkpoint());
+        reportedTasks.add(known);
+        known.markRunning(now);
+        known.onListed(sentNanos);
+        known.observe(run.percent(), run.gauge(), now);
+        saveCheckpoint(known, run.checkpoint());
     }
 
     /** Stores a run's checkpoint, for the whole gang if the task belongs to one. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -91,7 +91,7 @@
         worker.addAbandonedRun(run);
         if (run.hadJustStarted())
         {
-            recordCrash(task, worker, Attribution.UNPROVEN);
+            recordCrash(run.task(), worker, Attribution.UNPROVEN);
         }
     }
 
@@ -169,7 +169,7 @@
 
     private void recordCrash(Task task, TrackedWorker worker, Attribution attribution)
     {
-        if (!task.step().job().state().isFinal())
+        if (!task.step().job().state().isFinal() && task.phase() != Task.Phase.DONE)
         {
             task.setCrashes(task.crashes().with(worker.id(), attribution));
             trackedTasks.add(task);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -49,10 +49,31 @@
     {
     }
 
+    /**
+     * The outcome of a copy: a run of the task has ended successfully, or the copy ended without
+     * success.
+     *
+     * @param task the full name of the task
+     * @param loser the other run, or the copy if it ended without success
+     * @param loserRun the number of that run
+     * @param hasWon whether the copy completed the task
+     * @param wastedCoreSeconds the work of that run, in seconds of a core
+     */
+    record SettledCopy(String task, String loser, int loserRun, boolean hasWon, double wastedCoreSeconds)
+    {
+        /** Returns the text of the event. */
+        String describe()
+        {
+            return String.format("%s: run %d on %s does not count, %.2f core-seconds lost",
+                    hasWon ? "the copy won" : "the copy did not win", loserRun, loser, wastedCoreSeconds);
+        }
+    }
+
     private final Set<Job> changedJobs = new LinkedHashSet<>();
     private final List<Stop> stops = new ArrayList<>();
     private final List<LostRun> lostRuns = new ArrayList<>();
     private final List<PoisonTask> poisonTasks = new ArrayList<>();
+    private final List<SettledCopy> settledCopies = new ArrayList<>();
 
     /** Marks the progress of a job as changed. */
     void markChanged(Job job)
@@ -73,6 +94,15 @@
         stops.add(new Stop(task.worker(), task.name(), task.run(), task));
     }
 
+    /** Stops a run unless that has been decided before. */
+    void stopUnlessStopping(Task task)
+    {
+        if (task.phase() != Task.Phase.STOPPING)
+        {
+            stop(task);
+        }
+    }
+
     void stopOrphanRun(TrackedWorker worker, String taskName, int run)
     {
         stops.add(new Stop(worker, taskName, run, null));
@@ -101,6 +131,18 @@
         poisonTasks.add(new PoisonTask(task.name(), task.crashes()));
     }
 
+    /** Adds the outcome of a copy; the loser may have no run on a worker any more. */
+    void addSettledCopy(Task loser, boolean hasWon)
+    {
+        String worker = loser.isOnWorker() ? loser.worker().id() : "no worker";
+        settledCopies.add(new SettledCopy(loser.name(), worker, loser.run(), hasWon, loser.coreSeconds()));
+    }
+
+    List<SettledCopy> settledCopies()
+    {
+        return settledCopies;
+    }
+
     List<PoisonTask> poisonTasks()
     {
         return poisonTasks;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -122,6 +122,20 @@
         return record.acceptedMillis() + objectiveMillis(criticalPathMillis) - remainingMillis() - wallMillis;
     }
 
+    /** Returns the time from the acceptance of the job to its objective, in milliseconds. */
+    long objectiveMillis()
+    {
+        return objectiveMillis(criticalPathMillis);
+    }
+
+    /** Returns the estimated critical path of the steps that are not done, without the given one. */
+    long remainingMillisWithout(Step excluded)
+    {
+        List<Step> steps = round(0);
+        return criticalPathMillis(record.job().steps(),
+                step -> step == excluded.number() || steps.get(step).isDone());
+    }
+
     /** Returns the delay that the job could take at its acceptance, in milliseconds. */
     long initialSlackMillis()
     {
@@ -224,10 +238,10 @@
         return state.isFinal() && tasksOnWorkers().isEmpty();
     }
 
-    /** Returns the tasks that are on workers. */
+    /** Returns the tasks and copies that are on workers. */
     List<Task> tasksOnWorkers()
     {
-        return steps().stream().flatMap(step -> step.tasks().stream()).filter(Task::isOnWorker).toList();
+        return steps().stream().flatMap(step -> step.runsOnWorkers().stream()).toList();
     }
 
     Task findTask(TaskName name)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 
 import org.gaugehollow.job.JobProgress;
+import org.gaugehollow.job.JobProgress.CopyProgress;
 import org.gaugehollow.job.JobProgress.RoundProgress;
 import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.JobProgress.TaskProgress;
@@ -71,10 +72,20 @@
             TrackedWorker worker = progress.worker() == null ? null : workers.get(progress.worker());
             Task task = step.tasks().get(i);
             task.restore(progress, worker, nanoTime.getAsLong());
+            restoreCopy(task, progress.copy());
             crashGuard.onTaskRestored(task);
         }
     }
 
+    private void restoreCopy(Task task, CopyProgress progress)
+    {
+        if (progress != null)
+        {
+            TrackedWorker worker = progress.worker() == null ? null : workers.get(progress.worker());
+            task.restoreCopy(progress, worker, nanoTime.getAsLong());
+        }
+    }
+
     private static boolean fits(JobProgress progress, Job job)
     {
         return progress.state() != null && progress.rounds() != null
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -87,6 +87,7 @@
     private final Supervisor supervisor;
     private final long retentionNanos;
     private final EventLog events;
+    private final CopyStatistics copyStatistics = new CopyStatistics();
     private volatile OwnerLease currentLease;
     private volatile Optional<OwnerTerm> currentTerm = Optional.empty();
     private volatile String owner = NO_BOX;
@@ -333,7 +334,7 @@
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
         try (OwnerTerm newTerm = new OwnerTerm(platform, lease, events, termSupervisor, config,
-                adviceDispatcher, score, retentionNanos))
+                adviceDispatcher, score, retentionNanos, copyStatistics))
         {
             currentTerm = Optional.of(newTerm);
             termSupervisor.start("lease", () -> renewPeriodically(lease));
@@ -467,6 +468,12 @@
         return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
     }
 
+    /** @return the counts of copies over all terms of this box */
+    public CopyStatistics copyStatistics()
+    {
+        return copyStatistics;
+    }
+
     /** @return whether this box is the owner, as far as it knows */
     public boolean isOwner()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -67,6 +67,8 @@
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
     private final UnresponsiveWorkerGuard unresponsiveWorkerGuard;
+    private final CopyPlanner copyPlanner;
+    private final CopyStatistics copyStatistics;
     private final Semaphore wakeUps = new Semaphore(0);
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
@@ -74,9 +76,10 @@
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
-            long retentionNanos)
+            long retentionNanos, CopyStatistics copyStatistics)
     {
         this.retentionNanos = retentionNanos;
+        this.copyStatistics = copyStatistics;
         this.platform = platform;
         this.lease = lease;
         this.events = events;
@@ -94,6 +97,7 @@
         this.stallGuard = new StallGuard(cellState);
         this.slowWorkerGuard = new SlowWorkerGuard(cellState);
         this.unresponsiveWorkerGuard = new UnresponsiveWorkerGuard(cellState);
+        this.copyPlanner = new CopyPlanner(cellState, planner, cellState::slowness);
         this.jobReader = new JobReader(this, platform.store(), this::startWorkerTasks);
         this.workerSessions = new WorkerSessions(this, platform, supervisor, config);
         this.expiringLeases = new ExpiringLeases(platform.store(), cellState, lease, events);
@@ -196,6 +200,7 @@
         Effects poisoned;
         List<Effects> expired;
         List<UnresponsiveWorkerGuard.AbandonedRun> abandonedRuns;
+        List<CopyPlanner.StartedCopy> copies;
         Optional<List<WaitingGroup>> waiting = Optional.empty();
         long scanNanos;
         synchronized (cellState)
@@ -213,6 +218,7 @@
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
             cellState.speeds().check(SteadyClock.nanos());
             plan = planner.plan(SteadyClock.nanos(), System.currentTimeMillis());
+            copies = copyPlanner.plan(plan, SteadyClock.nanos(), System.currentTimeMillis());
             plan.needAdvice().forEach(adviceCache::request);
             scanNanos = SteadyClock.nanos();
             if (waitMonitor.isDue(scanNanos))
@@ -222,6 +228,7 @@
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
+        copies.forEach(this::recordCopy);
         recordMovedTasks(evacuations, "its worker is leaving");
         recordMovedTasks(stalls, "it is stalled");
         recordMovedTasks(slowRuns, "its worker is slow");
@@ -254,6 +261,18 @@
         apply(preemption.effects());
     }
 
+    private void recordCopy(CopyPlanner.StartedCopy copy)
+    {
+        copyStatistics.recordStart();
+        events.record(EventType.COPY_STARTED, copy.task(), copy.describe());
+    }
+
+    private void recordOutcome(Effects.SettledCopy copy)
+    {
+        copyStatistics.recordOutcome(copy);
+        events.record(EventType.COPY_SETTLED, copy.task(), copy.describe());
+    }
+
     private void recordMovedTasks(Effects effects, String reason)
     {
         for (Effects.Stop stop : effects.stops())
@@ -330,6 +349,7 @@
      */
     void apply(Effects effects, Runnable onWritten)
     {
+        effects.settledCopies().forEach(this::recordOutcome);
         for (Effects.Stop stop : effects.stops())
         {
             workerSessions.session(stop.worker().id()).ifPresent(session -> inBackground(stop.taskName(),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
@@ -291,7 +292,7 @@
             {
                 return;
             }
-            start(task, task.run() + 1, best, task.checkpoint(), plan, nowNanos);
+            start(task, task.nextRun(), best, task.checkpoint(), plan, nowNanos);
         }
     }
 
@@ -322,6 +323,57 @@
         }
     }
 
+    /**
+     * Starts a copy of a task if a suitable worker other than that of the task has free capacity, and
+     * the customer's quota allows it. Must be called right after a planning round. A worker in another
+     * rack is preferred, since the workers of a rack can become slow together; but if the task runs in
+     * its preferred rack, the copy does too, or it would take longer.
+     *
+     * @param task a task on a worker
+     * @param isFastEnough whether a worker is fast enough
+     * @param plan the plan to which the start is added
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @return the copy, or empty if none was started
+     */
+    Optional<Task> startCopy(Task task, Predicate<TrackedWorker> isFastEnough, Plan plan, long nowNanos)
+    {
+        Step step = task.step();
+        if (!allowsQuota(step))
+        {
+            return Optional.empty();
+        }
+        boolean needsTickets = step.job().queue().adviceIfNeeded().isPresent();
+        TrackedWorker current = task.worker();
+        boolean isOffRack = current.entry() != null && step.lacksAffinity(current.entry());
+        List<TrackedWorker> usable = workersWithCapacity(step, nowNanos).stream()
+                .filter(worker -> worker != current && !worker.health().isAvoided(nowNanos))
+                .filter(worker -> isOffRack || !step.lacksAffinity(worker.entry()))
+                .filter(worker -> !needsTickets || tickets.ticket(step, worker).isPresent())
+                .filter(isFastEnough).toList();
+        List<TrackedWorker> otherRacks = usable.stream()
+                .filter(worker -> !worker.entry().rack().equals(rackOf(current))).toList();
+        TrackedWorker best = bestWorker(task, otherRacks.isEmpty() ? usable : otherRacks, Map.of(), nowNanos);
+        if (best == null)
+        {
+            return Optional.empty();
+        }
+        int run = task.nextRun();
+        Task copy = task.addCopy();
+        start(copy, run, best, task.checkpoint(), plan, nowNanos);
+        return Optional.of(copy);
+    }
+
+    private static String rackOf(TrackedWorker worker)
+    {
+        return worker.entry() == null ? "" : worker.entry().rack();
+    }
+
+    /** Returns the workers on which tasks could start in the latest round. */
+    List<TrackedWorker> acceptingWorkers()
+    {
+        return acceptingWorkers;
+    }
+
     private void start(Task task, int run, TrackedWorker worker, String checkpoint, Plan plan, long nowNanos)
     {
         task.assign(worker, run, nowNanos);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
@@ -45,21 +45,22 @@
         {
             effects.addUnwritten(job);
         }
-        if (!task.isAt(worker, end.run()))
+        Task run = task.findRun(worker, end.run());
+        if (run == null)
         {
             handleDuplicateEnd(task, worker, end, effects);
             return;
         }
         effects.markChanged(job);
-        CellState.saveCheckpoint(task, end.checkpoint());
+        CellState.saveCheckpoint(run, end.checkpoint());
         if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
         {
-            handleSuccess(task, worker, nanoTime.getAsLong());
+            handleSuccess(run, worker, effects);
         }
         else
         {
-            task.release();
-            if (end.how() == RunEnd.FAILED && task.phase() != Task.Phase.DONE)
+            CellState.releaseRun(run, effects);
+            if (end.how() == RunEnd.FAILED && !task.hasSucceeded())
             {
                 handleFailure(task, worker, end.run(), effects);
             }
@@ -93,23 +94,57 @@
     private static void completeByDuplicate(Task task, Effects effects)
     {
         task.completeByAbandonedRun();
-        if (task.isOnWorker() && task.phase() != Task.Phase.STOPPING)
+        if (task.isOnWorker())
         {
-            effects.stop(task);
+            effects.stopUnlessStopping(task);
         }
+        stopCopy(task, effects);
         CellState.completeIfAllDone(task.step().job(), effects);
     }
 
-    private void handleSuccess(Task task, TrackedWorker worker, long nowNanos)
+    /** Handles a run of a task or its copy that ended successfully. */
+    private void handleSuccess(Task run, TrackedWorker worker, Effects effects)
     {
         worker.health().recordSuccess();
-        if (task.step().spec().gang())
+        if (run.step().spec().gang())
         {
-            task.step().tasks().forEach(Task::complete);
+            run.step().tasks().forEach(Task::complete);
             return;
         }
-        task.complete(nowNanos);
-        cellState.speeds().onRunEnded(task, nowNanos);
+        if (run.task().hasSucceeded())
+        {
+            run.release();
+            return;
+        }
+        completeBy(run, effects);
+        cellState.speeds().onRunEnded(run.task(), nanoTime.getAsLong());
+    }
+
+    /** Completes a task by the first of its runs that ended successfully. */
+    private void completeBy(Task run, Effects effects)
+    {
+        Task task = run.task();
+        if (task.copy() != null)
+        {
+            effects.addSettledCopy(run.isCopy() ? task : task.copy(), run.isCopy());
+        }
+        if (run.isCopy())
+        {
+            task.completeByCopy(nanoTime.getAsLong());
+        }
+        else
+        {
+            task.complete(nanoTime.getAsLong());
+        }
+        stopCopy(task, effects);
+    }
+
+    private static void stopCopy(Task task, Effects effects)
+    {
+        if (task.copy() != null)
+        {
+            effects.stopUnlessStopping(task.copy());
+        }
     }
 
     private void handleFailure(Task task, TrackedWorker worker, int run, Effects effects)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.gaugehollow.job.JobProgress.StepProgress;
 import org.gaugehollow.job.StepSpec;
@@ -63,7 +64,7 @@
     {
         for (Task task : tasks)
         {
-            if (task.phase() == Task.Phase.WAITING)
+            if (task.isWaiting())
             {
                 return true;
             }
@@ -74,7 +75,7 @@
     /** Returns the tasks that wait for a start. */
     List<Task> waitingTasks()
     {
-        return tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING).toList();
+        return tasks.stream().filter(Task::isWaiting).toList();
     }
 
     /** Returns whether no task of the step is on a worker. */
@@ -146,10 +147,23 @@
         return hasAffinity() && !entry.labels().contains(spec.affinity());
     }
 
-    /** Returns the number of tasks of the step on a worker. */
+    /** Returns the number of runs of the step on a worker. */
     long countOn(TrackedWorker worker)
     {
-        return tasks.stream().filter(task -> task.worker() == worker).count();
+        return runs().filter(run -> run.worker() == worker).count();
+    }
+
+    /** Returns the tasks and their copies. */
+    private Stream<Task> runs()
+    {
+        return tasks.stream()
+                .flatMap(task -> task.copy() == null ? Stream.of(task) : Stream.of(task, task.copy()));
+    }
+
+    /** Returns the tasks and copies that are on workers. */
+    List<Task> runsOnWorkers()
+    {
+        return runs().filter(Task::isOnWorker).toList();
     }
 
     /** Returns whether the anti-affinity limit allows additional tasks of the step on a worker. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -6,212 +6,203 @@
 
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.job.CrashHistory;
 import org.gaugehollow.job.CrashHistory.Attribution;
+import org.gaugehollow.job.JobProgress.CopyProgress;
 import org.gaugehollow.job.JobProgress.TaskProgress;
 import org.gaugehollow.job.StepSpec;
 
-/** A task of a step in the cell state. Guarded by the lock of the cell state. */
-final class Task
+/**
+ * A task of a step in the cell state. Guarded by the lock of the cell state.
+ * <p>
+ * A task may have a copy: a second run on another worker beside its own. The copy is an object of
+ * this class too, with its own worker, phase and progress, so that it uses capacity and is stopped
+ * like any other run. It is not one of the tasks of the step; failures, crashes and the outcome
+ * belong to the task.
+ */
+final class Task extends RunState
 {
-    /** State of a task. */
-    enum Phase
-    {
-        /** The task waits for a start; no run of it is on a worker. */
-        WAITING,
-        /** A start may have been sent; its arrival is not known. */
-        ORDERED,
-        /** The worker runs the task. */
-        RUNNING,
-        /** A stop may have been sent; the task counts as running until its end is known. */
-        STOPPING,
-        /** A run ended successfully. */
-        DONE
-    }
-
-    /** Full value of {@link #percent} and {@link #speedLimitPercent}. */
-    static final int FULL_PERCENT = 100;
-    /**
-     * Time after which a stop is sent again if the worker still lists the run, far above what a stop
-     * takes.
-     */
-    private static final long STOP_TIMEOUT_NANOS = 3_000_000_000L;
-    /** Marks a command whose effect on the worker is not known yet. */
-    static final long UNSETTLED = Long.MAX_VALUE;
-
-    private final Step step;
     private final int index;
-    private Phase phase = Phase.WAITING;
-    private int run;
+    /** The task of which this is a copy; null if this is a task. */
+    private final Task original;
+    /** The copy that is on a worker; null if there is none. */
+    private Task copy;
+    /** Whether the task has ever had a copy. */
+    private boolean wasCopied;
+    /** Highest number of a run of the task or its copy. */
+    private int highestRun;
     private int failures;
     private String checkpoint;
-    private TrackedWorker worker;
-    private long settledNanos = UNSETTLED;
-    private final RunObservation observation = new RunObservation();
-    private final RunSpeed runSpeed = new RunSpeed(observation);
     private long runMillis;
-    private int speedLimitPercent = FULL_PERCENT;
-    private long speedLimitSetNanos;
-    private final SpeedLimitDelivery speedLimitDelivery = new SpeedLimitDelivery();
     private String failedWorkerId;
     private CrashHistory crashes = CrashHistory.NONE;
     /**
      * Derived from the crash history; cached because it is read for each pair of a task and a worker.
      */
     private boolean suspect;
-    private boolean mayHaveStarted;
-    /** Time at which the latest start was sent first. Only valid if {@link #mayHaveStarted} holds. */
-    private long sentNanos;
-    private boolean hasStarted;
     /** Runs abandoned on unresponsive workers; each may still be running or may have ended. */
     private Set<Integer> abandonedRuns = Set.of();
     private boolean doneByAbandonedRun;
 
     Task(Step step, int index)
     {
-        this.step = step;
+        super(step);
         this.index = index;
+        this.original = null;
     }
 
-    /** Restores the progress recorded by a previous owner. */
+    private Task(Task original)
+    {
+        super(original.step());
+        this.index = original.index;
+        this.original = original;
+    }
+
+    /** Restores the progress recorded by a previous owner, except that of a copy. */
     void restore(TaskProgress progress, TrackedWorker recordedWorker, long nowNanos)
     {
-        run = progress.run();
+        setRun(progress.run());
+        highestRun = progress.run();
         failures = progress.failures();
         checkpoint = progress.checkpoint();
         setCrashes(progress.crashes() == null ? CrashHistory.NONE : progress.crashes());
         if (progress.done())
         {
-            phase = Phase.DONE;
+            setPhase(Phase.DONE);
         }
         else if (recordedWorker != null)
         {
-            assign(recordedWorker, run, nowNanos);
-            runSpeed.markResumed();
-            mayHaveStarted = true;
-            settledNanos = Long.MIN_VALUE;
-            speedLimitDelivery.markUnknown();
+            restoreRun(recordedWorker, progress.run(), nowNanos);
         }
     }
 
-    TaskProgress progress()
+    private void restoreRun(TrackedWorker recordedWorker, int recordedRun, long nowNanos)
     {
-        return new TaskProgress(run, failures, phase == Phase.DONE || doneByAbandonedRun,
-                worker == null ? null : worker.id(), checkpoint, crashes.isEmpty() ? null : crashes);
+        assign(recordedWorker, recordedRun, nowNanos);
+        markRestored(nowNanos);
     }
 
-    /** Assigns the task to a worker before its start is recorded and sent. */
-    void assign(TrackedWorker target, int newRun, long nowNanos)
+    /**
+     * Restores the copy recorded by a previous owner. If the task is done, its copy is to be stopped.
+     */
+    void restoreCopy(CopyProgress progress, TrackedWorker recordedWorker, long nowNanos)
     {
-        phase = Phase.ORDERED;
-        run = newRun;
-        worker = target;
-        settledNanos = UNSETTLED;
-        observation.reset(nowNanos);
-        runSpeed.begin(target, checkpoint != null, step);
-        speedLimitPercent = FULL_PERCENT;
-        speedLimitSetNanos = nowNanos;
-        speedLimitDelivery.reset();
-        mayHaveStarted = false;
-        hasStarted = false;
-        target.addTask(this);
+        wasCopied = true;
+        highestRun = Math.max(highestRun, progress.run());
+        if (recordedWorker != null)
+        {
+            Task restored = addCopy();
+            restored.restoreRun(recordedWorker, progress.run(), nowNanos);
+            if (phase() == Phase.DONE)
+            {
+                restored.markStopping();
+            }
+        }
+    }
+
+    TaskProgress progress()
+    {
+        return new TaskProgress(run(), failures, hasSucceeded(), isOnWorker() ? worker().id() : null,
+                checkpoint, crashes.isEmpty() ? null : crashes, copyProgress());
     }
 
-    /** Marks the start as being sent. */
-    void markSent(long nowNanos)
+    private CopyProgress copyProgress()
     {
-        if (!mayHaveStarted)
+        if (copy != null)
         {
-            mayHaveStarted = true;
-            sentNanos = nowNanos;
+            return new CopyProgress(copy.run(), copy.worker().id());
         }
+        return wasCopied && phase() != Phase.DONE ? new CopyProgress(highestRun, null) : null;
     }
 
-    /** Returns whether the start was sent at least the given time ago and is not settled. */
-    boolean isStartUnansweredFor(long nanos, long nowNanos)
+    /** Adds a copy, which must be assigned to a worker next. */
+    Task addCopy()
     {
-        return phase == Phase.ORDERED && mayHaveStarted && settledNanos == UNSETTLED
-                && nowNanos - sentNanos >= nanos;
+        copy = new Task(this);
+        wasCopied = true;
+        return copy;
     }
 
-    /** Marks the task as running, as reported by the worker. */
-    void markRunning(long nowNanos)
+    /** Returns the copy that is on a worker, or null if there is none. */
+    Task copy()
     {
-        if (phase == Phase.ORDERED)
-        {
-            phase = Phase.RUNNING;
-            mayHaveStarted = true;
-            hasStarted = true;
-            observation.onStarted(nowNanos);
-        }
+        return copy;
     }
 
-    /**
-     * Records the time at which the last command took effect. A heartbeat sent later that does not list
-     * the run proves that the run is not on the worker.
-     */
-    void settle(long nowNanos)
+    /** Returns whether the task has a copy or has had one. */
+    boolean wasCopied()
     {
-        settledNanos = nowNanos;
+        return wasCopied;
     }
 
-    /**
-     * Handles the reply to a start: the worker runs the task. The reply does not settle a stop that was
-     * decided in the meantime, because that stop would then never be sent.
-     */
-    void onStartAnswered(long nowNanos)
+    boolean isCopy()
     {
-        markRunning(nowNanos);
-        if (phase != Phase.STOPPING)
-        {
-            settle(nowNanos);
-        }
+        return original != null;
     }
 
-    /** Handles the reply to a stop. Only the first reply for the current run counts. */
-    void onStopAnswered(TrackedWorker commandedWorker, int stoppedRun, long nowNanos)
+    /** Returns the task of which this is a copy, or this task if it is not a copy. */
+    Task task()
     {
-        if (phase == Phase.STOPPING && isAt(commandedWorker, stoppedRun) && settledNanos == UNSETTLED)
-        {
-            settle(nowNanos);
-        }
+        return original == null ? this : original;
     }
 
-    /**
-     * Handles a heartbeat, sent at the given time, that lists the run. An answered stop may have been
-     * lost.
-     */
-    void onListed(long heartbeatNanos)
+    /** Returns the object that stands for a run, this task or its copy, or null if it is neither. */
+    Task findRun(TrackedWorker expectedWorker, int expectedRun)
     {
-        if (phase == Phase.STOPPING && settledNanos != UNSETTLED
-                && heartbeatNanos - settledNanos >= STOP_TIMEOUT_NANOS)
+        if (isAt(expectedWorker, expectedRun))
         {
-            settledNanos = UNSETTLED;
+            return this;
         }
+        return copy != null && copy.isAt(expectedWorker, expectedRun) ? copy : null;
+    }
+
+    /** Returns the number of the next run. */
+    int nextRun()
+    {
+        return highestRun + 1;
     }
 
-    /** Marks the task as stopping before the stop is sent. */
-    void markStopping()
+    /** Returns whether the task waits for a start; a task whose copy runs does not. */
+    boolean isWaiting()
     {
-        phase = Phase.STOPPING;
-        settledNanos = UNSETTLED;
+        return phase() == Phase.WAITING && copy == null;
+    }
+
+    /** Returns whether a run ended successfully, even if another one still has to be stopped. */
+    boolean hasSucceeded()
+    {
+        return phase() == Phase.DONE || doneByAbandonedRun;
+    }
+
+    /** Assigns the task to a worker before its start is recorded and sent. */
+    void assign(TrackedWorker target, int newRun, long nowNanos)
+    {
+        begin(target, newRun, task().checkpoint != null, nowNanos);
+        task().highestRun = Math.max(task().highestRun, newRun);
+        target.addTask(this);
     }
 
     /**
      * Releases the worker after the run has ended. The task waits for another run unless an abandoned
-     * run has completed it.
+     * run has completed it; a copy is removed.
      */
     void release()
     {
+        if (isCopy())
+        {
+            leaveWorker();
+            setPhase(Phase.WAITING);
+            original.copy = null;
+            return;
+        }
         if (doneByAbandonedRun)
         {
             complete();
             return;
         }
         leaveWorker();
-        phase = Phase.WAITING;
+        setPhase(Phase.WAITING);
     }
 
     /**
@@ -219,19 +210,25 @@
      */
     boolean allowsDuplicateRuns()
     {
-        StepSpec spec = step.spec();
+        StepSpec spec = step().spec();
         return spec.speculative() && !spec.gang() && !spec.longRunning();
     }
 
     /** Abandons the current run on its worker so that another run can start elsewhere. */
     void abandonRun()
     {
-        Set<Integer> withCurrent = new HashSet<>(abandonedRuns);
-        withCurrent.add(run);
-        abandonedRuns = withCurrent;
+        Set<Integer> withCurrent = new HashSet<>(task().abandonedRuns);
+        withCurrent.add(run());
+        task().abandonedRuns = withCurrent;
         release();
     }
 
+    /** Returns whether a run abandoned by this owner may still exist. */
+    boolean hasAbandonedRuns()
+    {
+        return !abandonedRuns.isEmpty();
+    }
+
     /** Removes an abandoned run that has ended; returns false if no abandoned run has that number. */
     boolean endAbandonedRun(int number)
     {
@@ -254,32 +251,52 @@
     /** Completes the task and records the duration of its run. */
     void complete(long nowNanos)
     {
-        runMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - observation.startedNanos());
+        runMillis = millisSinceStart(nowNanos);
+        complete();
+    }
+
+    /**
+     * Completes the task by its copy, whose run has ended. A run of the task's own remains as its copy
+     * and still has to be stopped, so that the completion does not wait for it.
+     */
+    void completeByCopy(long nowNanos)
+    {
+        Task ended = copy;
+        ended.release();
+        runMillis = ended.millisSinceStart(nowNanos);
+        if (isOnWorker())
+        {
+            detachRun();
+        }
+        takeResult(ended);
         complete();
     }
 
+    /** Moves the run of the task to a copy, including the state of its latest command. */
+    private void detachRun()
+    {
+        Task detached = addCopy();
+        detached.takeOver(this);
+        TrackedWorker current = worker();
+        leaveWorker();
+        current.addTask(detached);
+    }
+
     /** Completes the task. */
     void complete()
     {
         leaveWorker();
-        phase = Phase.DONE;
+        setPhase(Phase.DONE);
         checkpoint = null;
     }
 
     private void leaveWorker()
     {
-        if (worker != null)
+        if (isOnWorker())
         {
-            worker.removeTask(this);
-            worker = null;
+            worker().removeTask(this);
         }
-        settledNanos = UNSETTLED;
-    }
-
-    /** Records the progress reported by a heartbeat. */
-    void observe(int percent, double gauge, long nowNanos)
-    {
-        observation.observe(percent, gauge, nowNanos);
+        leave();
     }
 
     /** Counts a failed run. */
@@ -299,21 +316,9 @@
         return candidate.id().equals(failedWorkerId);
     }
 
-    /** Returns whether the latest start may have reached the worker. */
-    boolean mayHaveStarted()
-    {
-        return mayHaveStarted;
-    }
-
-    /** Returns whether the worker is known to have started the latest run. */
-    boolean hasStarted()
-    {
-        return hasStarted;
-    }
-
     CrashHistory crashes()
     {
-        return crashes;
+        return task().crashes;
     }
 
     void setCrashes(CrashHistory newCrashes)
@@ -325,70 +330,26 @@
     /** Returns whether a worker crashed right after starting the task. */
     boolean isSuspect()
     {
-        return suspect;
+        return task().suspect;
     }
 
     /** Returns whether the task is a suspect whose run is still within its isolation period. */
     boolean isIsolated()
     {
-        return isSuspect() && isOnWorker() && phase != Phase.STOPPING
+        return isSuspect() && isOnWorker() && phase() != Phase.STOPPING
                 && observedMillis() < CrashGuard.STARTUP_MILLIS;
     }
 
+    /** Saves a checkpoint; one of a copy counts only if the task has no run of its own. */
     void saveCheckpoint(String newCheckpoint)
     {
-        if (newCheckpoint != null && !newCheckpoint.isEmpty())
+        boolean isIgnored = isCopy() && (original.isOnWorker() || original.phase() == Phase.DONE);
+        if (newCheckpoint != null && !newCheckpoint.isEmpty() && !isIgnored)
         {
-            checkpoint = newCheckpoint;
+            task().checkpoint = newCheckpoint;
         }
     }
 
-    void setSpeedLimitPercent(int newPercent, long nowNanos)
-    {
-        speedLimitPercent = newPercent;
-        speedLimitSetNanos = nowNanos;
-        speedLimitDelivery.markUnknown();
-    }
-
-    /** Returns the delivery of {@link #speedLimitPercent} to the worker. */
-    SpeedLimitDelivery speedLimitDelivery()
-    {
-        return speedLimitDelivery;
-    }
-
-    long speedLimitSetNanos()
-    {
-        return speedLimitSetNanos;
-    }
-
-    /**
-     * Returns whether the task is on a worker, that is, from its assignment until its run has ended.
-     */
-    boolean isOnWorker()
-    {
-        return worker != null;
-    }
-
-    boolean isAt(TrackedWorker expectedWorker, int expectedRun)
-    {
-        return worker == expectedWorker && run == expectedRun;
-    }
-
-    Step step()
-    {
-        return step;
-    }
-
-    Phase phase()
-    {
-        return phase;
-    }
-
-    int run()
-    {
-        return run;
-    }
-
     int failures()
     {
         return failures;
@@ -399,83 +360,12 @@
         return checkpoint;
     }
 
-    TrackedWorker worker()
-    {
-        return worker;
-    }
-
-    long settledNanos()
-    {
-        return settledNanos;
-    }
-
-    long startedNanos()
-    {
-        return observation.startedNanos();
-    }
-
-    /** Returns the projected duration of a whole run, see {@link RunObservation#projectedMillis}. */
-    double projectedMillis()
-    {
-        return observation.projectedMillis();
-    }
-
-    /**
-     * Returns the remaining time of the run at its average speed, in milliseconds, or the estimate if
-     * no progress has been observed.
-     */
-    long remainingMillis(long nowNanos)
-    {
-        return observation.remainingMillis(step.spec().estimateMillis(), nowNanos);
-    }
-
     /** Returns the duration of the successful run, in milliseconds, or 0 if unknown. */
     long runMillis()
     {
         return runMillis;
     }
 
-    /** Returns the latest run as compared with other runs of the step. */
-    RunSpeed runSpeed()
-    {
-        return runSpeed;
-    }
-
-    /** Returns the time for which heartbeats have shown the run, in milliseconds. */
-    long observedMillis()
-    {
-        return observation.observedMillis();
-    }
-
-    /**
-     * Returns the time from the start of the run to the given monotonic time, in milliseconds; 0 if
-     * that time is earlier.
-     */
-    long millisSinceStart(long nanos)
-    {
-        return observation.millisSinceStart(nanos);
-    }
-
-    long lastProgressNanos()
-    {
-        return observation.lastProgressNanos();
-    }
-
-    int percent()
-    {
-        return observation.percent();
-    }
-
-    int speedLimitPercent()
-    {
-        return speedLimitPercent;
-    }
-
-    double gauge()
-    {
-        return observation.gauge();
-    }
-
     /** Returns the index of the task in its step. */
     int index()
     {
@@ -484,6 +374,6 @@
 
     String name()
     {
-        return step.name() + '.' + index;
+        return step().name() + '.' + index;
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveRun.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveRun.java
@@ -17,13 +17,13 @@
  */
 record UnresponsiveRun(Task task, int run, boolean hasStarted, long durationMillis)
 {
-    /** Creates a record of the newest run of a task on a worker. */
+    /** Creates a record of the newest run of a task, or of its copy, on a worker. */
     static UnresponsiveRun of(Task task, TrackedWorker worker)
     {
         long elapsedMillis = worker.hasLostConnection()
                 ? task.millisSinceStart(worker.unresponsiveSinceNanos())
                 : task.observedMillis();
-        return new UnresponsiveRun(task, task.run(), task.hasStarted(),
+        return new UnresponsiveRun(task.task(), task.run(), task.hasStarted(),
                 Math.max(elapsedMillis, task.observedMillis()));
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitScan.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitScan.java
@@ -140,7 +140,8 @@
         {
             worker.forEachTask(task ->
             {
-                if (!task.step().job().state().isFinal())
+                boolean isBesideRun = task.isCopy() && task.task().phase() != Task.Phase.WAITING;
+                if (!task.step().job().state().isFinal() && !isBesideRun)
                 {
                     WaitClassifier.classifyPlaced(task, maySend, nowNanos)
                             .ifPresent(reason -> addPlaced(task, reason, groups, nowNanos));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -65,7 +65,8 @@
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence);
         term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
-                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5), retentionNanos);
+                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5), retentionNanos,
+                new CopyStatistics());
         startConfirming();
         term.begin();
     }
