--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -95,6 +95,8 @@
             "Tasks of a step do not run; the text gives the reason, for how long, how many, the first index, and details."),
     TASK_UNBLOCKED(529, Level.INFO,
             "No task of a step waits any more; the text gives the whole wait and the reason that was logged last."),
+    KIND_SPEED_CHANGED(530, Level.INFO,
+            "The estimated speed of a kind of worker changed notably; the text gives how long runs take there relative to the typical worker."),
     COPY_STARTED(531, Level.INFO,
             "A second run of a task is started beside one that is slow or unanswered; the text gives both runs and their workers, how slow the first worker is, and the expected gain."),
     COPY_SETTLED(532, Level.INFO,
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CopyStatistics.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CopyStatistics.java
@@ -4,28 +4,36 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.DoubleAdder;
 
-/** Counts the copies that this box has started as the cell's owner, over all its terms. */
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
+
+/** Counts and logs the copies that this box has started as the cell's owner, over all its terms. */
 public final class CopyStatistics
 {
     private final AtomicLong started = new AtomicLong();
     private final AtomicLong won = new AtomicLong();
     private final DoubleAdder wastedCoreSeconds = new DoubleAdder();
 
-    void recordStart()
+    /** Counts and logs copies that are being started. */
+    void recordStarted(List<CopyPlanner.StartedCopy> copies, EventLog events)
     {
-        started.incrementAndGet();
+        started.addAndGet(copies.size());
+        copies.forEach(copy -> events.record(EventType.COPY_STARTED, copy.task(), copy.describe()));
     }
 
-    void recordOutcome(Effects.SettledCopy copy)
+    /** Counts and logs the outcomes of copies. */
+    void recordSettled(List<Effects.SettledCopy> copies, EventLog events)
     {
-        if (copy.hasWon())
+        for (Effects.SettledCopy copy : copies)
         {
-            won.incrementAndGet();
+            won.addAndGet(copy.hasWon() ? 1 : 0);
+            wastedCoreSeconds.add(copy.wastedCoreSeconds());
+            events.record(EventType.COPY_SETTLED, copy.task(), copy.describe());
         }
-        wastedCoreSeconds.add(copy.wastedCoreSeconds());
     }
 
     /** @return the number of copies started */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -60,6 +60,7 @@
     private final Journal journal;
     private final AdviceCache adviceCache;
     private final Planner planner;
+    private final SpeedReport speedReport;
     private final QuotaMonitor quotaMonitor;
     private final WaitScan waitScan;
     private final WaitMonitor waitMonitor;
@@ -88,6 +89,7 @@
         this.journal = new Journal(platform.store(), cellState, lease, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score);
+        this.speedReport = new SpeedReport(cellState, planner, events);
         this.quotaMonitor = new QuotaMonitor(events);
         long beginNanos = SteadyClock.nanos();
         this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
@@ -228,7 +230,7 @@
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
-        copies.forEach(this::recordCopy);
+        copyStatistics.recordStarted(copies, events);
         recordMovedTasks(evacuations, "its worker is leaving");
         recordMovedTasks(stalls, "it is stalled");
         recordMovedTasks(slowRuns, "its worker is slow");
@@ -241,6 +243,7 @@
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
         waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
+        speedReport.report(scanNanos);
     }
 
     /** Sends the starts of each job as soon as the record of that job is written. */
@@ -261,18 +264,6 @@
         apply(preemption.effects());
     }
 
-    private void recordCopy(CopyPlanner.StartedCopy copy)
-    {
-        copyStatistics.recordStart();
-        events.record(EventType.COPY_STARTED, copy.task(), copy.describe());
-    }
-
-    private void recordOutcome(Effects.SettledCopy copy)
-    {
-        copyStatistics.recordOutcome(copy);
-        events.record(EventType.COPY_SETTLED, copy.task(), copy.describe());
-    }
-
     private void recordMovedTasks(Effects effects, String reason)
     {
         for (Effects.Stop stop : effects.stops())
@@ -349,7 +340,7 @@
      */
     void apply(Effects effects, Runnable onWritten)
     {
-        effects.settledCopies().forEach(this::recordOutcome);
+        copyStatistics.recordSettled(effects.settledCopies(), events);
         for (Effects.Stop stop : effects.stops())
         {
             workerSessions.session(stop.worker().id()).ifPresent(session -> inBackground(stop.taskName(),
@@ -466,6 +457,12 @@
         return waitMonitor.snapshot();
     }
 
+    /** Returns the estimated speeds. */
+    SpeedSnapshot speeds()
+    {
+        return speedReport.snapshot();
+    }
+
     OwnerLease lease()
     {
         return lease;
