--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -135,7 +135,7 @@
                 registry::isOutranked, SteadyClock::nanos);
         this.election = new OwnerElection(id, platform, config, ownerMonitor, registry, adviceDispatcher,
                 SCORE, settings.stopCosts(), supervisor.child("owner"), settings.statusSeconds(), events);
-        this.admission = new AdmissionControl(election::backlog, election::owner,
+        this.admission = new AdmissionControl(() -> election.status().backlog(), election::owner,
                 () -> registry.peers().size() + 1, SteadyClock::nanos, events);
         JobIntake intake = new JobIntake(store, new PeerJobNotice(registry, election), admission, events,
                 metrics);
@@ -180,36 +180,15 @@
 
     private void registerGauges()
     {
-        metrics.gauge("gaugehollow_owner", "1 where this box owns the cell.",
-                () -> election.isOwner() ? 1 : 0);
         metrics.gauge("gaugehollow_config_version", "Version of the configuration in force.",
                 () -> config.get().version());
-        metrics.gauge("gaugehollow_waiting_tasks",
-                "Tasks that are due and have not run for a second, by the reason for which they wait.",
-                "reason", () -> election.waits().tasksByLabel());
-        metrics.gauge("gaugehollow_longest_wait_seconds", "Longest wait of a task by reason.", "reason",
-                () -> election.waits().longestSecondsByLabel());
-        metrics.gauge("gaugehollow_worker_slowness",
-                "Duration of runs relative to the typical worker, by kind of worker.", "kind",
-                () -> election.speeds().slownessByKind());
-        metrics.gauge("gaugehollow_slow_placements",
-                "Placements in this term on workers too slow for the objective of the job.",
-                () -> election.speeds().slowPlacements());
-        metrics.gauge("gaugehollow_stopped_core_milliseconds",
-                "Work lost by runs that were stopped to continue elsewhere, since the start of this box.",
-                "reason", election::stoppedCoreMillis);
-        metrics.gauge("gaugehollow_customer_share",
-                "Part of the cell that a customer uses, as a multiple of the part of its weight, for the largest.",
-                "customer", () -> election.customers().shares());
-        metrics.gauge("gaugehollow_customer_waiting_tasks",
-                "Tasks of a customer that are ready to start, for the customers with the largest shares.",
-                "customer", () -> election.customers().waitingTasks());
         metrics.gauge("gaugehollow_expected_wait_seconds",
                 "Expected wait of the newest submission of a queue in the last seconds, by queue.", "queue",
                 admission::expectedWaitSeconds);
         metrics.gauge("gaugehollow_backlog_age_seconds",
                 "Age of the owner's account of the waiting work; 0 if there is none.",
                 admission::accountAgeSeconds);
+        OwnerGauges.register(metrics, election);
     }
 
     private void startTasks()
--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
@@ -87,7 +87,7 @@
                 .setSilent(monitor.isOwnerUnresponsive(call.getOwner()));
         if (isOwner)
         {
-            BacklogCodec.write(election.backlog(), SteadyClock.nanos()).ifPresent(reply::setBacklog);
+            BacklogCodec.write(election.status().backlog(), SteadyClock.nanos()).ifPresent(reply::setBacklog);
         }
         return Frame.newBuilder().setOwnerReply(reply);
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -91,6 +91,7 @@
     private final Supervisor supervisor;
     private final long retentionNanos;
     private final EventLog events;
+    private final CopyStatistics copyStatistics = new CopyStatistics();
     private volatile OwnerLease currentLease;
     private volatile Optional<OwnerTerm> currentTerm = Optional.empty();
     private volatile String owner = NO_BOX;
@@ -346,7 +347,7 @@
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
         try (OwnerTerm newTerm = new OwnerTerm(platform, lease, events, termSupervisor, config,
-                adviceDispatcher, score, stopCosts, stoppedWork, retentionNanos))
+                adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
             termSupervisor.start("lease", () -> renewPeriodically(lease));
@@ -474,31 +475,16 @@
         return lease == null ? 0 : lease.unconfirmedMillis();
     }
 
-    /** @return the tasks that wait in the current term; none if this box is not the owner */
-    public WaitSnapshot waits()
+    /** @return the counts of copies over all terms of this box */
+    public CopyStatistics copyStatistics()
     {
-        return currentTerm.map(OwnerTerm::waits).orElse(WaitSnapshot.EMPTY);
+        return copyStatistics;
     }
 
-    /** @return the speeds estimated in the current term; none if this box is not the owner */
-    public SpeedSnapshot speeds()
+    /** @return what the current term knows of the cell; nothing if this box is not the owner */
+    public TermStatus status()
     {
-        return currentTerm.map(OwnerTerm::speeds).orElse(SpeedSnapshot.EMPTY);
-    }
-
-    /** @return the shares of customers in the current term; none if this box is not the owner */
-    public CustomerSnapshot customers()
-    {
-        return currentTerm.map(OwnerTerm::customers).orElse(CustomerSnapshot.EMPTY);
-    }
-
-    /**
-     * @return the newest account of the waiting work in the current term; empty if nothing waits or
-     *         this box is not the owner
-     */
-    public TimedBacklog backlog()
-    {
-        return currentTerm.map(OwnerTerm::backlog).orElse(TimedBacklog.NONE);
+        return currentTerm.map(OwnerTerm::status).orElse(TermStatus.NONE);
     }
 
     /** @return whether this box is the owner, as far as it knows */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -61,31 +61,26 @@
     private final Journal journal;
     private final AdviceCache adviceCache;
     private final Planner planner;
-    private final SpeedReport speedReport;
-    private final CustomerWaitMonitor quotaMonitor;
-    private final CustomerWaitMonitor shareMonitor;
-    private final WaitScan waitScan;
-    private final WaitMonitor waitMonitor;
-    private final OutlookMonitor outlookMonitor;
-    private final BacklogScan backlogScan;
+    private final TermReports reports;
     private final Evacuation evacuation;
     private final StallGuard stallGuard;
     private final SlowWorkerGuard slowWorkerGuard;
     private final UnresponsiveWorkerGuard unresponsiveWorkerGuard;
+    private final CopyPlanner copyPlanner;
+    private final CopyStatistics copyStatistics;
     private final Semaphore wakeUps = new Semaphore(0);
     private final StoppedWork stoppedWork;
-    private volatile TimedBacklog backlog = TimedBacklog.NONE;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
-    private volatile CustomerSnapshot customers = CustomerSnapshot.EMPTY;
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
-            StopCosts stopCosts, StoppedWork stoppedWork, long retentionNanos)
+            StopCosts stopCosts, StoppedWork stoppedWork, CopyStatistics copyStatistics, long retentionNanos)
     {
         this.retentionNanos = retentionNanos;
         this.stoppedWork = stoppedWork;
+        this.copyStatistics = copyStatistics;
         this.platform = platform;
         this.lease = lease;
         this.events = events;
@@ -94,20 +89,12 @@
         this.journal = new Journal(platform.store(), cellState, lease, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score, stopCosts);
-        this.speedReport = new SpeedReport(cellState, planner, events);
-        this.quotaMonitor = new CustomerWaitMonitor(events, EventType.QUOTA_REACHED, EventType.QUOTA_LEFT);
-        this.shareMonitor = new CustomerWaitMonitor(events, EventType.SHARE_EXCEEDED,
-                EventType.SHARE_RESTORED);
-        long beginNanos = SteadyClock.nanos();
-        this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache), lease,
-                beginNanos);
-        this.waitMonitor = new WaitMonitor(events, lease, beginNanos);
-        this.outlookMonitor = new OutlookMonitor(events);
-        this.backlogScan = new BacklogScan(cellState, planner, lease);
+        this.reports = new TermReports(cellState, planner, adviceCache, lease, events);
         this.evacuation = new Evacuation(cellState);
         this.stallGuard = new StallGuard(cellState);
         this.slowWorkerGuard = new SlowWorkerGuard(cellState, stopCosts);
         this.unresponsiveWorkerGuard = new UnresponsiveWorkerGuard(cellState);
+        this.copyPlanner = new CopyPlanner(cellState, planner, cellState::slowness);
         this.jobReader = new JobReader(this, platform.store(), this::startWorkerTasks);
         this.workerSessions = new WorkerSessions(this, platform, supervisor, config);
         this.expiringLeases = new ExpiringLeases(platform.store(), cellState, lease, events);
@@ -161,7 +148,7 @@
             Optional<WaitReason> block = findBlock();
             if (block.isPresent())
             {
-                reportBlocked(block);
+                reports.reportBlocked(block.get());
             }
             else
             {
@@ -187,20 +174,6 @@
         return config.get().version() > 0 ? Optional.empty() : Optional.of(WaitReason.NO_CONFIGURATION);
     }
 
-    private void reportBlocked(Optional<WaitReason> block)
-    {
-        long nowNanos = SteadyClock.nanos();
-        if (waitMonitor.isDue(nowNanos))
-        {
-            List<WaitingGroup> waiting;
-            synchronized (cellState)
-            {
-                waiting = waitScan.scan(block, nowNanos);
-            }
-            waitMonitor.report(waiting, nowNanos);
-        }
-    }
-
     private void planOnce()
     {
         Planner.Plan plan;
@@ -210,9 +183,8 @@
         Effects poisoned;
         List<Effects> expired;
         List<UnresponsiveWorkerGuard.AbandonedRun> abandonedRuns;
-        Optional<List<WaitingGroup>> waiting = Optional.empty();
-        List<OutlookMonitor.Worsened> outlooks = List.of();
-        long scanNanos;
+        List<CopyPlanner.StartedCopy> copies;
+        TermReports.Observation observation;
         synchronized (cellState)
         {
             evacuations = evacuation.evacuate(SteadyClock.nanos());
@@ -228,22 +200,13 @@
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
             cellState.speeds().check(SteadyClock.nanos());
             plan = planner.plan(SteadyClock.nanos(), System.currentTimeMillis());
+            copies = copyPlanner.plan(plan, SteadyClock.nanos(), System.currentTimeMillis());
             plan.needAdvice().forEach(adviceCache::request);
-            scanNanos = SteadyClock.nanos();
-            if (waitMonitor.isDue(scanNanos))
-            {
-                waiting = Optional.of(waitScan.scan(Optional.empty(), scanNanos));
-                outlooks = outlookMonitor.scan(cellState.activeJobs());
-                customers = planner.customers();
-            }
-            if (backlogScan.isDue(scanNanos))
-            {
-                backlog = new TimedBacklog(backlogScan.scan(scanNanos, System.currentTimeMillis()),
-                        scanNanos);
-            }
+            observation = reports.observe(plan);
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
+        copyStatistics.recordStarted(copies, events);
         recordMovedTasks(evacuations, StoppedWork.Reason.EVACUATION, "its worker is leaving");
         recordMovedTasks(stalls, StoppedWork.Reason.STALL, "it is stalled");
         recordMovedTasks(slowRuns, StoppedWork.Reason.SLOW_WORKER, "its worker is slow");
@@ -252,13 +215,9 @@
         apply(slowRuns);
         expired.forEach(this::applyLoss);
         applyLoss(poisoned);
-        quotaMonitor.onPlan(plan.atQuota(), SteadyClock.nanos());
-        shareMonitor.onPlan(plan.heldBack(), SteadyClock.nanos());
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
-        outlookMonitor.report(outlooks);
-        waiting.ifPresent(groups -> waitMonitor.report(groups, scanNanos));
-        speedReport.report(scanNanos);
+        reports.report(observation);
     }
 
     /** Sends the starts of each job as soon as the record of that job is written. */
@@ -357,6 +316,7 @@
      */
     void apply(Effects effects, Runnable onWritten)
     {
+        copyStatistics.recordSettled(effects.settledCopies(), events);
         for (Effects.Stop stop : effects.stops())
         {
             workerSessions.session(stop.worker().id()).ifPresent(session -> inBackground(stop.taskName(),
@@ -468,28 +428,10 @@
         wakeUps.release();
     }
 
-    /** Returns the tasks that wait, by reason. */
-    WaitSnapshot waits()
-    {
-        return waitMonitor.snapshot();
-    }
-
-    /** Returns the estimated speeds. */
-    SpeedSnapshot speeds()
-    {
-        return speedReport.snapshot();
-    }
-
-    /** Returns the shares and waiting tasks of the customers. */
-    CustomerSnapshot customers()
-    {
-        return customers;
-    }
-
-    /** Returns the newest account of the waiting work. */
-    TimedBacklog backlog()
+    /** Returns what the owner knows of the cell. */
+    TermStatus status()
     {
-        return backlog;
+        return reports.status();
     }
 
     OwnerLease lease()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
@@ -210,7 +210,7 @@
         Step step = ranked.step();
         String customer = QuotaUsage.customerOf(step.job());
         return shares.competingShare(customer, usage.usageOf(customer),
-                step.needs().times(step.countOnWorkers()));
+                step.needs().times(step.runsOnWorkers().size()));
     }
 
     /** Returns the weighted share of a customer in the latest round that regarded shares. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -67,7 +67,7 @@
         lease = new OwnerLease(box, revision, 1, previousFence);
         term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), retentionNanos);
+                StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), new CopyStatistics(), retentionNanos);
         startConfirming();
         term.begin();
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitLogTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitLogTest.java
@@ -83,8 +83,9 @@
         accept(TestJobs.ADVISED_QUEUE);
         assertLogged("TASK_WAITING advice_unanswered for \\d+ ms, tasks: 1, first index: 0: .*"
                 + "no advice since \\d+ ms, 0 requests failed, one is pending for \\d+ ms");
-        assertThat(term.term().waits().tasksByLabel()).containsEntry("advice_unanswered", 1.0);
-        assertThat(term.term().waits().longestSecondsByLabel().get("advice_unanswered")).isAtLeast(1.0);
+        assertThat(term.term().status().waits().tasksByLabel()).containsEntry("advice_unanswered", 1.0);
+        assertThat(term.term().status().waits().longestSecondsByLabel().get("advice_unanswered"))
+                .isAtLeast(1.0);
         answer.countDown();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.isRunning(TASK))).isTrue();
         assertLogged("TASK_UNBLOCKED after \\d+ ms, last reason advice_unanswered");
