--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.schedule;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -88,6 +89,9 @@
 
     /** Maximum number of steps in one planning round for which advice is requested ahead. */
     private static final int MAX_PREFETCHED_STEPS = 4;
+    private static final Comparator<Step> BY_PRIORITY_AND_AGE = Comparator
+            .comparingInt((Step step) -> step.job().queue().priority())
+            .thenComparingLong(step -> step.job().acceptedRevision());
 
     private final CellState cellState;
     private final Tickets tickets;
@@ -144,30 +148,25 @@
      */
     private void prefetchNextSteps(Plan plan, long nowNanos, long wallMillis)
     {
-        int left = MAX_PREFETCHED_STEPS;
+        List<Step> due = new ArrayList<>();
         for (Job job : cellState.activeJobs())
         {
-            boolean needsTickets = job.queue().adviceIfNeeded().isPresent();
-            if (left > 0 && needsTickets && job.outlook(wallMillis).mayBeInTime())
+            if (job.queue().adviceIfNeeded().isPresent() && job.outlook(wallMillis).mayBeInTime())
             {
-                for (Step step : job.nextSteps())
-                {
-                    boolean requests = isPrefetchDue(step, nowNanos) && adviceBudget.acquireForPrefetch(step);
-                    if (requests)
-                    {
-                        plan.needAdvice().add(step);
-                        left--;
-                    }
-                }
+                job.nextSteps().stream().filter(step -> isPrefetchDue(step, nowNanos)).forEach(due::add);
             }
         }
+        due.sort(BY_PRIORITY_AND_AGE);
+        due.stream().limit(MAX_PREFETCHED_STEPS).filter(adviceBudget::acquireForPrefetch)
+                .forEach(plan.needAdvice()::add);
     }
 
     private boolean isPrefetchDue(Step step, long nowNanos)
     {
         AdviceSpec advice = step.job().queue().adviceIfNeeded().orElseThrow();
-        return !tickets.isFresh(step) && PrefetchWindow.isDue(step.job().millisUntilReady(step, nowNanos),
-                advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS), advice.validMillis());
+        return !tickets.isFresh(step) && tickets.unanswered(step).isEmpty()
+                && PrefetchWindow.isDue(step.job().millisUntilReady(step, nowNanos),
+                        advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS), advice.validMillis());
     }
 
     private void planStep(Step step, Plan plan, long nowNanos)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -39,7 +39,6 @@
 
     private final CapacityReservations reservations;
     private final StopCosts stopCosts;
-    private SoonFreeCapacity soonFree;
     private long nowNanos;
     private long wallMillis;
     private long nextSearchNanos;
@@ -70,7 +69,6 @@
             hasSearched = true;
             nextSearchNanos = currentNanos + SEARCH_PERIOD_NANOS;
             stepsLeft = MAX_STEPS_PER_PERIOD;
-            soonFree = new SoonFreeCapacity(stopCosts, currentNanos);
             leastUrgentPriority = cellState.leastUrgentRunning();
         }
     }
@@ -109,12 +107,6 @@
         }
         stepsLeft--;
         int unreserved = step.waitingTasks().size() - reservations.countOf(step);
-        int withoutStop = soonFree.claim(step, allowed, unreserved);
-        if (step.spec().gang() && withoutStop < unreserved)
-        {
-            withoutStop = 0;
-        }
-        unreserved -= withoutStop;
         List<Placement> placements = new ArrayList<>();
         Set<Task> chosenVictims = new HashSet<>();
         for (int i = 0; i < unreserved; i++)
@@ -218,8 +210,8 @@
 
     private boolean endsSoon(Task task)
     {
-        return task.phase() == Task.Phase.STOPPING
-                || task.phase() == Task.Phase.RUNNING && stopCosts.endsSoon(task.remainingMillis(nowNanos));
+        return task.phase() == Task.Phase.STOPPING || task.phase() == Task.Phase.RUNNING
+                && stopCosts.endsBeforeStop(task.remainingMillis(nowNanos));
     }
 
     private long minSlackMillis(Job job)
--- a/gaugehollow/src/main/java/org/gaugehollow/urgency/StopCosts.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/urgency/StopCosts.java
@@ -24,10 +24,6 @@
     private static final long NEXT_START_MILLIS = 1_000;
     /** Time for a planning round and a start, in milliseconds. */
     private static final long PLAN_MILLIS = 100;
-    /** Stops usually take less than the maximum; a run that ends within this share isn't stopped. */
-    private static final double USUAL_STOP_SHARE = 0.75;
-    /** Factor by which a run may take longer than estimated. */
-    private static final double ESTIMATE_TOLERANCE = 1.5;
 
     /** @return lifetime of a reservation of the capacity that a stop frees, in milliseconds */
     public long reservationMillis()
@@ -84,20 +80,10 @@
 
     /**
      * @param remainingMillis estimated remaining time of a run, in milliseconds
-     * @return whether the run ends about as soon as a stop would end it
-     */
-    public boolean endsSoon(long remainingMillis)
-    {
-        return remainingMillis <= USUAL_STOP_SHARE * stopMillis;
-    }
-
-    /**
-     * @param remainingMillis estimated remaining time of a run, in milliseconds
-     * @return whether the run frees its capacity sooner than a stop does, even if its estimate is too
-     *         low
+     * @return whether the run frees its capacity by itself as soon as a stop may
      */
     public boolean endsBeforeStop(long remainingMillis)
     {
-        return ESTIMATE_TOLERANCE * remainingMillis <= stopMillis;
+        return remainingMillis <= stopMillis;
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -168,21 +168,35 @@
         assertThat(starts.getFirst().task().step().job().id()).isEqualTo(SMALL);
     }
 
+    /** Lists a second worker that is full, with a run that began 400 ms after the one on the first. */
+    private void fillTwoWorkers()
+    {
+        accept(SMALL, PATIENT, 1, step(1, WHOLE_WORKER, true));
+        assertThat(plan().starts()).hasSize(1);
+        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(350));
+        cellState.updateWorker(TestJobs.worker("w2", WHOLE_WORKER)).setLeaseHeld(true);
+        accept("00000000000000dd", PATIENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(plan().starts()).hasSize(1);
+    }
+
     /** Guards against work thrown away for tasks that find capacity as soon without a stop. */
     @Test
     void noRunIsStoppedIfEnoughCapacityBecomesFreeSooner()
     {
-        TrackedWorker second = cellState.updateWorker(TestJobs.worker("w2", WHOLE_WORKER));
-        second.setLeaseHeld(true);
-        accept(SMALL, PATIENT, 1, step(1, WHOLE_WORKER, true));
-        plan();
-        clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(600));
-        accept("00000000000000dd", PATIENT, 2, step(1, WHOLE_WORKER, true));
-        plan();
+        fillTwoWorkers();
         accept(LARGE, URGENT, 3, step(1, WHOLE_WORKER, true));
         assertThat(stops(plan())).isEmpty();
     }
 
+    /** Guards against capacity that becomes free once and is counted for several tasks. */
+    @Test
+    void capacityThatBecomesFreeSoonCountsForOneTaskOnly()
+    {
+        fillTwoWorkers();
+        accept(LARGE, URGENT, 3, step(2, WHOLE_WORKER, true));
+        assertThat(stops(plan())).hasSize(1);
+    }
+
     /** Guards against runs stopped for a task that is too late once the stop is over. */
     @Test
     void noRunIsStoppedForJobThatCannotBeInTimeAfterTheStop()
--- a/gaugehollow/src/test/java/org/gaugehollow/urgency/StopCostsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/urgency/StopCostsTest.java
@@ -33,11 +33,11 @@
 
     /** Guards against stopping a run that frees its capacity sooner by itself. */
     @Test
-    void runThatEndsBeforeAStopIsRecognizedDespiteItsEstimate()
+    void runThatEndsBeforeAStopIsRecognized()
     {
-        assertThat(SLOW.endsBeforeStop(1_300)).isTrue();
-        assertThat(SLOW.endsBeforeStop(1_400)).isFalse();
-        assertThat(StopCosts.DEFAULT.endsBeforeStop(1_300)).isFalse();
+        assertThat(SLOW.endsBeforeStop(2_000)).isTrue();
+        assertThat(SLOW.endsBeforeStop(2_001)).isFalse();
+        assertThat(StopCosts.DEFAULT.endsBeforeStop(2_000)).isFalse();
     }
 
     /** Guards against counting work as lost that was never done, or that a stop saves. */
