--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
@@ -97,15 +97,15 @@
         placer = stepPlacer;
         withoutStart.clear();
         BacklogCheck backlog = new BacklogCheck(round.capacity());
-        classify(jobs, round.wallMillis()).forEach((urgency, members) ->
+        classify(jobs, round.wallMillis()).forEach((urgency, steps) ->
         {
-            if (compete(members, backlog, round.wallMillis()))
+            if (compete(steps, backlog, round.wallMillis()))
             {
-                placeClass(urgency, members);
+                placeClass(urgency, steps);
             }
             else
             {
-                placeInOrder(members, placer);
+                steps.forEach(step -> placer.place(step, false));
             }
         });
         waitBound.update(withoutStart, nowNanos);
@@ -124,48 +124,45 @@
     {
     }
 
-    /** Returns the jobs by urgency class, in their order. */
-    private static Map<UrgencyClass, List<Job>> classify(List<Job> jobs, long wallMillis)
+    /** Returns the waiting steps by urgency class, in their order. */
+    private static Map<UrgencyClass, List<Step>> classify(List<Job> jobs, long wallMillis)
     {
-        Map<UrgencyClass, List<Job>> classes = new LinkedHashMap<>();
-        jobs.forEach(job -> classes
-                .computeIfAbsent(UrgencyClass.of(job, wallMillis), urgency -> new ArrayList<>()).add(job));
+        Map<UrgencyClass, List<Step>> classes = new LinkedHashMap<>();
+        jobs.forEach(
+                job -> classes.computeIfAbsent(UrgencyClass.of(job, wallMillis), urgency -> new ArrayList<>())
+                        .addAll(job.waitingSteps()));
         return classes;
     }
 
     /**
-     * Adds the jobs of a class to the backlog and returns whether several customers compete in it.
+     * Adds the steps of a class to the backlog and returns whether several customers compete in it.
      */
-    private static boolean compete(List<Job> jobs, BacklogCheck backlog, long wallMillis)
+    private static boolean compete(List<Step> steps, BacklogCheck backlog, long wallMillis)
     {
         boolean someLate = false;
         Set<String> customers = new HashSet<>();
-        for (Job job : jobs)
+        for (Step step : steps)
         {
-            for (Step step : job.waitingSteps())
-            {
-                backlog.add(step.needs(), step.waitingTasks().size(), step.spec().estimateMillis());
-            }
+            Job job = step.job();
+            backlog.add(step.needs(), step.countWaiting(), step.spec().estimateMillis());
             customers.add(QuotaUsage.customerOf(job));
             someLate = someLate || !job.isOpenEnded() && backlog.delaysBeyond(job.slackMillis(wallMillis));
         }
         return someLate && customers.size() > 1;
     }
 
-    private void placeClass(UrgencyClass urgency, List<Job> jobs)
+    private void placeClass(UrgencyClass urgency, List<Step> steps)
     {
-        placeInOrder(jobs.stream().filter(Job::isOpenEnded).toList(), placer);
-        ShareQueue<RankedStep> queue = createQueue(urgency,
-                jobs.stream().filter(job -> !job.isOpenEnded()).toList());
+        steps.stream().filter(step -> step.job().isOpenEnded()).forEach(step -> placer.place(step, false));
+        ShareQueue<RankedStep> queue = createQueue(urgency, steps);
         Set<Claim> waiting = new HashSet<>();
         Set<Claim> started = new HashSet<>();
         heldBack.beginClass();
         for (RankedStep next = queue.next(); next != null; next = queue.next())
         {
-            Step step = next.step();
-            Claim claim = new Claim(urgency, QuotaUsage.customerOf(step.job()));
+            Claim claim = new Claim(urgency, QuotaUsage.customerOf(next.step().job()));
             double share = competingShare(next);
-            Outcome outcome = placer.place(step, queue.isOverdue());
+            Outcome outcome = placer.place(next.step(), queue.isOverdue());
             if (outcome.started())
             {
                 queue.onStarted();
@@ -185,23 +182,22 @@
         withoutStart.addAll(waiting);
     }
 
-    private ShareQueue<RankedStep> createQueue(UrgencyClass urgency, List<Job> jobs)
+    private ShareQueue<RankedStep> createQueue(UrgencyClass urgency, List<Step> steps)
     {
         ShareQueue<RankedStep> queue = new ShareQueue<>(this::competingShare);
-        int rank = 0;
-        for (Job job : jobs)
+        Set<String> customers = new HashSet<>();
+        for (int rank = 0; rank < steps.size(); rank++)
         {
-            String customer = QuotaUsage.customerOf(job);
-            for (Step step : job.waitingSteps())
+            Step step = steps.get(rank);
+            if (!step.job().isOpenEnded())
             {
+                String customer = QuotaUsage.customerOf(step.job());
+                customers.add(customer);
                 queue.add(customer, new RankedStep(step, rank));
-                rank++;
-            }
-            if (waitBound.isOverdue(new Claim(urgency, customer), nowNanos))
-            {
-                queue.setOverdue(customer);
             }
         }
+        customers.stream().filter(customer -> waitBound.isOverdue(new Claim(urgency, customer), nowNanos))
+                .forEach(queue::setOverdue);
         return queue;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -206,8 +206,8 @@
         }
         Map<String, Integer> waiting = new HashMap<>();
         quotaUsage.customers().forEach(customer -> waiting.put(customer, 0));
-        cellState.waitingSteps().forEach(step -> waiting.merge(QuotaUsage.customerOf(step.job()),
-                step.waitingTasks().size(), Integer::sum));
+        cellState.waitingSteps().forEach(
+                step -> waiting.merge(QuotaUsage.customerOf(step.job()), step.countWaiting(), Integer::sum));
         return new CustomerSnapshot(
                 waiting.entrySet().stream().map(entry -> new CustomerSnapshot.Entry(entry.getKey(),
                         placementOrder.shareOf(entry.getKey()), entry.getValue())).toList());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -77,6 +77,17 @@
         return tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING).toList();
     }
 
+    /** Returns the number of tasks that wait for a start. */
+    int countWaiting()
+    {
+        int count = 0;
+        for (Task task : tasks)
+        {
+            count += task.phase() == Task.Phase.WAITING ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns whether no task of the step is on a worker. */
     boolean isIdle()
     {
