--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -89,6 +89,17 @@
         return spec.longRunning() ? 0 : Work.coreMillis(needs, waitingTasks().size(), spec.estimateMillis());
     }
 
+    /** Returns the number of tasks that wait for a start. */
+    int countWaiting()
+    {
+        int count = 0;
+        for (Task task : tasks)
+        {
+            count += task.phase() == Task.Phase.WAITING ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns whether no task of the step is on a worker. */
     boolean isIdle()
     {
