--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -21,7 +21,7 @@
  * so only allowed workers are queried again when their tickets expire. Guarded by the lock of the
  * cell state.
  */
-final class AdviceCache implements Planner.Tickets
+final class AdviceCache implements Tickets
 {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Tickets are not used within this time of their expiry, so that a start arrives in time. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -406,20 +406,6 @@
         return activeJobs().stream().flatMap(job -> job.waitingSteps().stream()).toList();
     }
 
-    /** Returns the priority of the least urgent queue with tasks on workers; 0 is the most urgent. */
-    int leastUrgentRunning()
-    {
-        int lowestPriority = 0;
-        for (TrackedWorker worker : workers.all())
-        {
-            for (Task task : worker.tasks())
-            {
-                lowestPriority = Math.max(lowestPriority, task.step().job().queue().priority());
-            }
-        }
-        return lowestPriority;
-    }
-
     /** Returns all jobs that are not yet removed, ended or not. */
     Collection<Job> jobs()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/NoTickets.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/NoTickets.java
@@ -10,7 +10,7 @@
  * Ticket source for queues without advice: no start needs a ticket, and each step may run on every
  * worker.
  */
-final class NoTickets implements Planner.Tickets
+final class NoTickets implements Tickets
 {
     @Override
     public Optional<String> ticket(Step step, TrackedWorker worker)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PlacementOrder.java
@@ -128,9 +128,8 @@
     private static Map<UrgencyClass, List<Step>> classify(List<Job> jobs)
     {
         Map<UrgencyClass, List<Step>> classes = new LinkedHashMap<>();
-        jobs.forEach(
-                job -> classes.computeIfAbsent(UrgencyClass.of(job), urgency -> new ArrayList<>())
-                        .addAll(job.waitingSteps()));
+        jobs.forEach(job -> classes.computeIfAbsent(UrgencyClass.of(job), urgency -> new ArrayList<>())
+                .addAll(job.waitingSteps()));
         return classes;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -5,7 +5,6 @@
 package org.gaugehollow.schedule;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,13 +12,11 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
-import org.gaugehollow.job.AdviceSpec;
 import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.urgency.Outlook;
-import org.gaugehollow.urgency.PrefetchWindow;
 import org.gaugehollow.urgency.StopCosts;
 
 /**
@@ -65,37 +62,6 @@
     {
     }
 
-    /** Provides the known advice for a step on a worker. */
-    interface Tickets
-    {
-        /** Returns a valid ticket if the step requires one and it is known. */
-        Optional<String> ticket(Step step, TrackedWorker worker);
-
-        /** Returns whether the advice service is known to deny the step on the worker. */
-        boolean isDenied(Step step, TrackedWorker worker);
-
-        /**
-         * Returns whether the advice service is known to allow the step on the worker, even if the ticket
-         * is no longer valid.
-         */
-        boolean isAllowed(Step step, TrackedWorker worker);
-
-        /** Returns whether the step's tickets remain valid for longer than a refresh takes. */
-        boolean isFresh(Step step);
-
-        /** Returns the requests for the step since the last answer, if there are any. */
-        default Optional<UnansweredAdvice> unanswered(Step step)
-        {
-            return Optional.empty();
-        }
-    }
-
-    /** Maximum number of steps in one planning round for which advice is requested ahead. */
-    private static final int MAX_PREFETCHED_STEPS = 4;
-    private static final Comparator<Step> BY_PRIORITY_AND_AGE = Comparator
-            .comparingInt((Step step) -> step.job().queue().priority())
-            .thenComparingLong(step -> step.job().acceptedRevision());
-
     private final CellState cellState;
     private final Tickets tickets;
     private final WorkerRating rating;
@@ -104,6 +70,7 @@
     private final Preemption preemption;
     private final OverdueRoom overdueRoom = new OverdueRoom(reservations);
     private final PlacementOrder placementOrder = new PlacementOrder();
+    private final AdvicePrefetch advicePrefetch;
     private AdviceBudget adviceBudget = AdviceBudget.NONE;
     private QuotaUsage quotaUsage;
     private List<TrackedWorker> acceptingWorkers = List.of();
@@ -124,6 +91,7 @@
         this.tickets = tickets;
         this.rating = new WorkerRating(score);
         this.speedNeeds = new SpeedNeeds(cellState.speeds());
+        this.advicePrefetch = new AdvicePrefetch(cellState, tickets);
     }
 
     /** Plans as many starts as the free capacity allows. */
@@ -142,7 +110,7 @@
         reservations.removeExpired(nowNanos);
         preemption.beginRound(cellState, nowNanos, wallMillis);
         planSteps(plan, nowNanos, wallMillis);
-        prefetchNextSteps(plan, nowNanos, wallMillis);
+        plan.needAdvice().addAll(advicePrefetch.choose(adviceBudget, nowNanos, wallMillis));
         return plan;
     }
 
@@ -166,33 +134,6 @@
                 new PlacementOrder.Round(customers.weights(), capacity, nowNanos, wallMillis), placer));
     }
 
-    /**
-     * Requests advice for steps that begin soon, so that they don't wait for a call. Jobs that can't be
-     * in time are left out, and steps that could start now have consumed their share before.
-     */
-    private void prefetchNextSteps(Plan plan, long nowNanos, long wallMillis)
-    {
-        List<Step> due = new ArrayList<>();
-        for (Job job : cellState.activeJobs())
-        {
-            if (job.queue().adviceIfNeeded().isPresent() && job.outlook(wallMillis).mayBeInTime())
-            {
-                job.nextSteps().stream().filter(step -> isPrefetchDue(step, nowNanos)).forEach(due::add);
-            }
-        }
-        due.sort(BY_PRIORITY_AND_AGE);
-        due.stream().limit(MAX_PREFETCHED_STEPS).filter(adviceBudget::acquireForPrefetch)
-                .forEach(plan.needAdvice()::add);
-    }
-
-    private boolean isPrefetchDue(Step step, long nowNanos)
-    {
-        AdviceSpec advice = step.job().queue().adviceIfNeeded().orElseThrow();
-        return !tickets.isFresh(step) && tickets.unanswered(step).isEmpty()
-                && PrefetchWindow.isDue(step.job().millisUntilReady(step, nowNanos),
-                        advice.expectedMillis(AdviceSpec.TYPICAL_WORKERS), advice.validMillis());
-    }
-
     private PlacementOrder.Outcome planStep(Step step, boolean overdue, Plan plan, long nowNanos)
     {
         if (waitsForQuota(step, plan))
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -69,7 +69,7 @@
             hasSearched = true;
             nextSearchNanos = currentNanos + SEARCH_PERIOD_NANOS;
             stepsLeft = MAX_STEPS_PER_PERIOD;
-            leastUrgentPriority = cellState.leastUrgentRunning();
+            leastUrgentPriority = cellState.trackedWorkers().leastUrgentRunning();
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermReports.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermReports.java
@@ -44,8 +44,7 @@
     private volatile CustomerSnapshot customers = CustomerSnapshot.EMPTY;
     private volatile TimedBacklog backlog = TimedBacklog.NONE;
 
-    TermReports(CellState cellState, Planner planner, Planner.Tickets tickets, OwnerLease lease,
-            EventLog events)
+    TermReports(CellState cellState, Planner planner, Tickets tickets, OwnerLease lease, EventLog events)
     {
         this.cellState = cellState;
         this.planner = planner;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
@@ -151,4 +151,18 @@
         recordedLeaseEnds.remove(id);
         find(id).ifPresent(worker -> worker.setLeaseExpiring(false));
     }
+
+    /** Returns the priority of the least urgent queue with tasks on workers; 0 is the most urgent. */
+    int leastUrgentRunning()
+    {
+        int lowestPriority = 0;
+        for (TrackedWorker worker : all())
+        {
+            for (Task task : worker.tasks())
+            {
+                lowestPriority = Math.max(lowestPriority, task.step().job().queue().priority());
+            }
+        }
+        return lowestPriority;
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WaitClassifier.java
@@ -65,9 +65,9 @@
 
     private final CellState cellState;
     private final Planner planner;
-    private final Planner.Tickets tickets;
+    private final Tickets tickets;
 
-    WaitClassifier(CellState cellState, Planner planner, Planner.Tickets tickets)
+    WaitClassifier(CellState cellState, Planner planner, Tickets tickets)
     {
         this.cellState = cellState;
         this.planner = planner;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/AdvicePrefetchTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdvicePrefetchTest.java
@@ -33,7 +33,7 @@
     private long wallMillis;
 
     /** Tickets for the first step only. */
-    private static final class FirstStepTickets implements Planner.Tickets
+    private static final class FirstStepTickets implements Tickets
     {
         @Override
         public Optional<String> ticket(Step step, TrackedWorker worker)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PlannerLoadTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PlannerLoadTest.java
@@ -33,7 +33,7 @@
     private final Planner planner = new Planner(cellState, tickets, new WaitingFirstScore(0.5));
 
     /** Counts the comparisons of a step with a worker. */
-    private static final class CountingTickets implements Planner.Tickets
+    private static final class CountingTickets implements Tickets
     {
         private int comparisons;
 
