--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -312,13 +312,6 @@
         return preferred.isEmpty() ? avoided : preferred;
     }
 
-    /** Returns the eligible workers that need no advice or are known to be allowed. */
-    private List<TrackedWorker> allowedWorkers(Step step, long nowNanos)
-    {
-        return eligibleWorkers(step, nowNanos).stream().filter(worker -> tickets.isAllowed(step, worker))
-                .toList();
-    }
-
     private boolean isEligible(Step step, TrackedWorker worker)
     {
         return step.suits(worker.entry()) && !tickets.isDenied(step, worker);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SpeedMonitorTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SpeedMonitorTest.java
@@ -19,6 +19,7 @@
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.urgency.StopCosts;
 import org.gaugehollow.worker.HeartbeatReply.RunningRun;
 import org.gaugehollow.worker.WorkerEntry;
 import org.gaugehollow.worker.WorkerIncarnation;
@@ -204,7 +205,7 @@
     void slowKindIsNoFaultOfItsWorkers()
     {
         learn(plain(WORKERS, 100));
-        assertThat(new SlowWorkerGuard(cellState).check(clock.get()).stops()).isEmpty();
+        assertThat(new SlowWorkerGuard(cellState, StopCosts.DEFAULT).check(clock.get()).stops()).isEmpty();
         assertThat(workers.get(FIRST_SLOW).health().isAvoided(clock.get())).isFalse();
     }
 
