--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -98,6 +98,8 @@
         {
             finish(job, JobState.CANCELLED, effects);
         }
+        // the last owner may have ended while the other run of a task that was done was being stopped
+        completeIfAllDone(job, effects);
         return effects;
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyCell.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyCell.java
@@ -356,7 +356,8 @@
     void changeOwner()
     {
         startOwner();
-        records.values().forEach(record -> cellState.accept(record, 1, stored.get(record.id()), nowMillis()));
+        records.values()
+                .forEach(record -> apply(cellState.accept(record, 1, stored.get(record.id()), nowMillis())));
         machines.forEach(Machine::heartbeat);
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyPropertyTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyPropertyTest.java
@@ -13,6 +13,7 @@
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.worker.RunEnd;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -120,6 +121,14 @@
         cell.advance(1_000);
     }
 
+    /** Guards against a job whose tasks were all done when its owner was replaced. */
+    @Example
+    void nextOwnerCompletesAJobWhoseTasksAreDone()
+    {
+        everyStartKeepsTheRulesAndEveryJobEnds(List.of(0, 1, 1, 48, 1, 0, 3, 5, 0, 63, 0, 0, 0, 0, 0, 0, 0, 0,
+                137, 56, 0, 0, 8, 0, 0, 0, 0, 5, 0, 0, 9, 0, 22));
+    }
+
     @Property(tries = 500)
     void everyStartKeepsTheRulesAndEveryJobEnds(
             @ForAll @Size(min = 1, max = 80) List<@IntRange(min = 0, max = 200) Integer> events)
