--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Preemption.java
@@ -13,13 +13,15 @@
 import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.model.ComputeResources;
+import org.gaugehollow.urgency.Outlook;
 import org.gaugehollow.urgency.StopCosts;
 
 /**
  * Selects runs of less urgent queues to stop for tasks that fit on no worker. A run is eligible
- * only if little of its work is lost and its job has enough slack. No run is stopped for tasks that
- * find capacity as soon without a stop. The freed capacity is reserved for the waiting task,
- * because smaller tasks would otherwise keep taking it piece by piece.
+ * only if little of its work is lost and its job has enough slack, or is late with or without it.
+ * No run is stopped for tasks that find capacity as soon without a stop. The freed capacity is
+ * reserved for the waiting task, because smaller tasks would otherwise keep taking it piece by
+ * piece.
  */
 final class Preemption
 {
@@ -225,6 +227,18 @@
         boolean lessUrgent = step.job().queue().priority() > urgentStep.job().queue().priority();
         boolean independent = !step.spec().longRunning() && !step.spec().gang();
         return task.phase() == Task.Phase.RUNNING && lessUrgent && independent
-                && step.job().slackMillis(wallMillis) >= minSlackMillis(step.job());
+                && (hasSlack(step.job()) || isLateAnyway(step.job()));
+    }
+
+    private boolean hasSlack(Job job)
+    {
+        return job.slackMillis(wallMillis) >= minSlackMillis(job);
+    }
+
+    /** Returns whether a job misses its objective and a stop makes its outlook no worse. */
+    private boolean isLateAnyway(Job job)
+    {
+        Outlook outlook = job.outlook(wallMillis);
+        return !outlook.mayBeInTime() && job.outlook(wallMillis + stopCosts.jobDelayMillis()) == outlook;
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/PreemptionTest.java
@@ -145,6 +145,27 @@
         assertThat(stops(plan())).isEmpty();
     }
 
+    /** Guards against capacity that late jobs keep while jobs that can be in time wait. */
+    @Test
+    void jobThatIsLateAnywayIsPreempted()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        wallMillis += 12_000;
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).hasSize(2);
+    }
+
+    @Test
+    void lateJobThatWouldBecomeTooLateIsNotPreempted()
+    {
+        accept(SMALL, PATIENT, 1, step(2, HALF_WORKER, true));
+        plan();
+        wallMillis += 35_500;
+        accept(LARGE, URGENT, 2, step(1, WHOLE_WORKER, true));
+        assertThat(stops(plan())).isEmpty();
+    }
+
     @Test
     void noRunIsStoppedForJobThatWillMissItsObjective()
     {
