--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OverdueRoom.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OverdueRoom.java
@@ -13,7 +13,7 @@
 
 /**
  * Reserves capacity for a step whose customer has waited too long and whose tasks fit on no worker.
- * Without it, smaller tasks would keep taking each piece of capacity that becomes free. Guarded by
+ * Smaller tasks would otherwise keep taking each piece of capacity that becomes free. Guarded by
  * the lock of the cell state.
  */
 final class OverdueRoom
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerGuardsTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WorkerGuardsTest.java
@@ -128,21 +128,13 @@
     @Test
     void wholeGangIsStoppedWhenOneMemberStalls()
     {
-        cellState.accept(TestJobs.job(TestJobs.ID, TestJobs.gang(2, 100)), 1, null, 0);
-        Step step = cellState.findTask(TestJobs.ID + ".0.0.0").step();
-        for (Task task : step.tasks())
-        {
-            task.assign(worker, 1, clock.get());
-            task.markRunning(clock.get());
-        }
+        startGang();
         clock.addAndGet(TimeUnit.SECONDS.toNanos(4));
         worker.recordHeartbeat(clock.get());
         assertThat(new StallGuard(cellState).check(clock.get()).stops()).hasSize(2);
     }
 
-    /** A member that has done its work waits for slower members, for example on a faster worker. */
-    @Test
-    void gangIsNotStalledWhileFinishedMembersWaitForSlowerOnes()
+    private List<Task> startGang()
     {
         cellState.accept(TestJobs.job(TestJobs.ID, TestJobs.gang(2, 100)), 1, null, 0);
         List<Task> members = cellState.findTask(TestJobs.ID + ".0.0.0").step().tasks();
@@ -151,6 +143,14 @@
             task.assign(worker, 1, clock.get());
             task.markRunning(clock.get());
         }
+        return members;
+    }
+
+    /** A member that has done its work waits for slower members, for example on a faster worker. */
+    @Test
+    void gangIsNotStalledWhileFinishedMembersWaitForSlowerOnes()
+    {
+        List<Task> members = startGang();
         StallGuard guard = new StallGuard(cellState);
         for (int percent = 1; percent <= 10; percent++)
         {
@@ -177,13 +177,7 @@
     @Test
     void finishedGangThatDoesNotEndIsStalled()
     {
-        cellState.accept(TestJobs.job(TestJobs.ID, TestJobs.gang(2, 100)), 1, null, 0);
-        List<Task> members = cellState.findTask(TestJobs.ID + ".0.0.0").step().tasks();
-        for (Task task : members)
-        {
-            task.assign(worker, 1, clock.get());
-            task.markRunning(clock.get());
-        }
+        List<Task> members = startGang();
         for (int i = 1; i <= 8; i++)
         {
             gangHeartbeat(members, 100);
