--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/UrgencyClass.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/UrgencyClass.java
@@ -9,17 +9,16 @@
 /**
  * The urgency of a job, which comes before the order between customers.
  *
- * @param outlook whether the job can still be in time, {@link Outlook#IN_TIME} also if only perhaps
+ * @param tooLate whether the job can end only when that brings no benefit
  * @param beyondWeight whether the job exceeds its customer's weight
  * @param priority the priority of its queue; 0 is served first
  */
-record UrgencyClass(Outlook outlook, boolean beyondWeight, int priority)
+record UrgencyClass(boolean tooLate, boolean beyondWeight, int priority)
 {
     /** Returns the class of a job, with its outlook as of the latest planning round. */
     static UrgencyClass of(Job job)
     {
-        Outlook outlook = job.latestOutlook();
-        return new UrgencyClass(outlook.mayBeInTime() ? Outlook.IN_TIME : outlook, job.isBeyondWeight(),
+        return new UrgencyClass(job.latestOutlook() == Outlook.TOO_LATE, job.isBeyondWeight(),
                 job.queue().priority());
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/urgency/UrgencyOrder.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/urgency/UrgencyOrder.java
@@ -14,24 +14,18 @@
 public final class UrgencyOrder
 {
     /**
-     * Jobs that may be in time come before those that can't, also across priorities; then the priority
-     * decides. Among jobs of one priority, those that are in time by their estimates come before those
-     * that may miss; otherwise each job would be served when it is just too late. Then come jobs that
-     * have begun, because they end next, and because wide jobs, which begin in parts, would fall behind
+     * Jobs without any benefit come last; otherwise the priority decides. Among jobs of one priority,
+     * those that are in time by their estimates come before those that may miss, and these before late
+     * ones; otherwise each job would be served when it is just too late. Then come jobs that have
+     * begun, because they end next, and because wide jobs, which begin in parts, would fall behind
      * small ones otherwise. Age decides last.
      */
     public static final Comparator<JobUrgency> WITHIN_CUSTOMER = Comparator
-            .comparingInt(UrgencyOrder::benefitRank).thenComparingInt(JobUrgency::priority)
-            .thenComparing(JobUrgency::outlook).thenComparing(job -> !job.begun())
-            .thenComparingLong(JobUrgency::sequence);
+            .comparing((JobUrgency job) -> job.outlook() == Outlook.TOO_LATE)
+            .thenComparingInt(JobUrgency::priority).thenComparing(JobUrgency::outlook)
+            .thenComparing(job -> !job.begun()).thenComparingLong(JobUrgency::sequence);
 
     private UrgencyOrder()
     {
     }
-
-    /** Returns 0 for jobs that may be in time, 1 for late ones and 2 for those without any benefit. */
-    private static int benefitRank(JobUrgency job)
-    {
-        return job.outlook().mayBeInTime() ? 0 : job.outlook().ordinal() - Outlook.UNCERTAIN.ordinal();
-    }
 }
