--- a/gaugehollow/src/main/java/org/gaugehollow/speculation/CopyPolicy.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/speculation/CopyPolicy.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.speculation;
 
+import org.gaugehollow.urgency.Objective;
+
 /**
  * Decides whether a second run of a task is started beside a slow one.
  * <p>
@@ -26,8 +28,6 @@
     private static final double MAX_COPY_SHARE = 0.7;
     /** Share by which the time to an objective may be misjudged, since it depends on estimates. */
     private static final double OBJECTIVE_TOLERANCE = 0.25;
-    /** Multiple of its objective up to which a job is late but still of use. */
-    private static final double LATE_FACTOR = 3;
     /** Share of the cell's capacity that stays free beside copies and what waits. */
     private static final double MIN_SPARE_SHARE = 0.15;
     /** Maximum share of the cell's capacity that copies use. */
@@ -173,7 +173,7 @@
             return Verdict.NO_GAIN;
         }
         if (!helps(endWithout, endWith, job.objectiveMillis())
-                && !helps(endWithout, endWith, LATE_FACTOR * job.objectiveMillis()))
+                && !helps(endWithout, endWith, Objective.MAX_LATE_FACTOR * job.objectiveMillis()))
         {
             return Verdict.NO_BENEFIT;
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/ArchitectureTest.java
@@ -33,11 +33,11 @@
                 .definedBy("..peer..").layer("config").definedBy("..config..").layer("membership")
                 .definedBy("..membership..").layer("keys").definedBy("..keys..").layer("entry")
                 .definedBy("..entry..").layer("job").definedBy("..job..").layer("worker")
-                .definedBy("..worker..").layer("admission").definedBy("..admission..").layer("urgency")
-                .definedBy("..urgency..").layer("schedule").definedBy("..schedule..").layer("box")
-                .definedBy("..box..").whereLayer("box").mayNotBeAccessedByAnyLayer().whereLayer("schedule")
-                .mayOnlyBeAccessedByLayers("box").whereLayer("worker")
-                .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("admission")
+                .definedBy("..worker..").layer("admission").definedBy("..admission..").layer("speculation")
+                .definedBy("..speculation..").layer("urgency").definedBy("..urgency..").layer("schedule")
+                .definedBy("..schedule..").layer("box").definedBy("..box..").whereLayer("box")
+                .mayNotBeAccessedByAnyLayer().whereLayer("schedule").mayOnlyBeAccessedByLayers("box")
+                .whereLayer("worker").mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("admission")
                 .mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("job")
                 .mayOnlyBeAccessedByLayers("admission", "schedule", "box").whereLayer("entry")
                 .mayNotBeAccessedByAnyLayer().whereLayer("keys").mayOnlyBeAccessedByLayers("entry")
@@ -47,8 +47,10 @@
                 .mayOnlyBeAccessedByLayers("entry").whereLayer("platform")
                 .mayOnlyBeAccessedByLayers("config", "membership", "entry", "schedule", "box")
                 .whereLayer("placement").mayOnlyBeAccessedByLayers("config", "entry", "schedule", "box")
-                .whereLayer("urgency").mayOnlyBeAccessedByLayers("admission", "schedule", "box")
-                .whereLayer("settings").mayOnlyBeAccessedByLayers("entry").check(CLASSES);
+                .whereLayer("urgency")
+                .mayOnlyBeAccessedByLayers("admission", "speculation", "schedule", "box")
+                .whereLayer("speculation").mayOnlyBeAccessedByLayers("schedule", "box").whereLayer("settings")
+                .mayOnlyBeAccessedByLayers("entry").check(CLASSES);
     }
 
     /** Guards against leases measured with a clock that stops while the machine is suspended. */
