--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceDispatcher.java
@@ -68,8 +68,7 @@
      * @param expectedMillis expected duration in milliseconds
      * @param priority 0 is the most urgent
      * @param rank rank among calls of the same priority, lowest first
-     * @param need how urgently the call is needed; decides within a priority, and before it whether the
-     *            call can wait
+     * @param need how urgently the call is needed; decides before the priority
      * @param isRetry whether the call has failed on a channel
      */
     record Call(String step, List<String> workers, double expectedMillis, int priority, long rank, Need need,
@@ -122,9 +121,8 @@
     }
 
     private final Map<String, Channel> channels = new LinkedHashMap<>();
-    private final TreeSet<Call> waiting = new TreeSet<>(
-            Comparator.comparing((Call call) -> call.need().canWait()).thenComparingInt(Call::priority)
-                    .thenComparing(Call::need).thenComparingLong(Call::rank).thenComparing(Call::step));
+    private final TreeSet<Call> waiting = new TreeSet<>(Comparator.comparing(Call::need)
+            .thenComparingInt(Call::priority).thenComparingLong(Call::rank).thenComparing(Call::step));
     private final EventLog events;
 
     /**
