--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/BacklogScan.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/BacklogScan.java
@@ -90,12 +90,13 @@
         String service = job.queue().service();
         List<Step> ready = job.waitingSteps();
         boolean waitsForQuota = !ready.isEmpty() && ready.stream().noneMatch(planner::allowsQuota);
-        if (job.outlook(wallMillis) == Outlook.TOO_LATE || waitsForQuota)
+        Outlook outlook = job.outlook(wallMillis);
+        if (outlook == Outlook.TOO_LATE || waitsForQuota)
         {
             return;
         }
         JobRank rank = new JobRank(service, job.queue().priority(), job.isBeyondWeight());
-        boolean isLate = !job.outlook(wallMillis).mayBeInTime();
+        boolean isLate = !outlook.mayBeInTime();
         backlog.addArrival(rank, isLate, job.coreMillis(), wallMillis - job.record().acceptedMillis());
         backlog.add(rank, isLate, job.state() == JobState.QUEUED, job.waitingCoreMillis());
         CapacitySummary capacity = capacities.computeIfAbsent(service, CapacitySummary::new);
