OwnerLease: a confirmation counts from when its call was sent

Cause: an answer to a renewal counted from when it was read. The frozen owner read an answer that was 4 s old, took it for a new confirmation of its term and renewed the lease of the worker in its hall for 8 s more. Its successor had begun 1 s after the freeze and waits 14.9 s, which covers 8 s from when the last renewal was sent. The same in the call that begins a term: its answer, read late, counted as a confirmation at the time of reading. With a new line, E211, for answers that are read late, this case can be told from a renewal that was sent after the pause; a new gauge gives the age of the confirmation. Fix: OwnerLease keeps the time at which the confirming call was sent. So no command is sent later than 8 s after the store last knew the owner, however long the box was paused, which is what the successor's wait is made of. The age that other boxes ask for, and the limit of ExpiringLeases, stay the time since an answer was read: they ask whether the store answers the owner, and would take a slow store for a lost one. The renewals move to LeaseRenewal.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/OwnerGauges.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/OwnerGauges.java
@@ -18,6 +18,9 @@
     {
         metrics.gauge("gaugehollow_owner", "1 where this box owns the cell.",
                 () -> election.isOwner() ? 1 : 0);
+        metrics.gauge("gaugehollow_owner_unconfirmed_milliseconds",
+                "Time since the last call with which the store confirmed the term was sent; 0 elsewhere.",
+                () -> election.isOwner() ? election.unconfirmedMillis() : 0);
         registerWaits(metrics, election);
         registerSpeeds(metrics, election);
         registerCustomers(metrics, election);
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -35,6 +35,8 @@
     LEASE_NOT_RENEWED(209, Level.WARN, "The store did not confirm the owner's lease."),
     OWNER_SUSPECTED(210, Level.WARN,
             "The cell's owner seems to have failed or to have lost the store; this box tries to take over."),
+    CONFIRMED_LATE(211, Level.WARN,
+            "The store's confirmation of the owner's term was read late; it counts from when it was requested, which the text tells."),
     MAP_CHANGED(300, Level.INFO, "This box changed the hall's assignment map."),
     MAP_ADOPTED(301, Level.INFO, "This box adopted a newer assignment map of its hall."),
     BOX_REMOVED(302, Level.WARN, "A box whose lease expired was removed from the assignment map."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -43,11 +43,11 @@
      */
     private static final long MIN_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(1);
     /**
-     * Maximum time since the store confirmed the term for a worker to be added. Otherwise a recovered
-     * worker could stay without a lease until the store answers again. Corresponds to three renewals of
-     * the term.
+     * Maximum time since the store last answered a renewal of the term for a worker to be added.
+     * Otherwise a recovered worker could stay without a lease until the store answers again.
+     * Corresponds to three renewals of the term.
      */
-    private static final long MAX_UNCONFIRMED_MILLIS = 900;
+    private static final long MAX_UNANSWERED_MILLIS = 900;
     /** Time for which a worker remains recorded after its lease has expired. */
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long PERIOD_MILLIS = 200;
@@ -174,7 +174,7 @@
 
     private void addUnresponsive(long now)
     {
-        if (owner.unconfirmedMillis() > MAX_UNCONFIRMED_MILLIS)
+        if (owner.unansweredMillis() > MAX_UNANSWERED_MILLIS)
         {
             return;
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -42,8 +42,11 @@
  */
 public final class OwnerElection implements SupervisedTask
 {
-    private static final int LEASE_MILLIS = 1_000;
-    private static final int RENEW_MILLIS = 300;
+    /** Duration of the store's lease of a term. */
+    static final int LEASE_MILLIS = 1_000;
+
+    /** Interval at which the owner checks whether its term has to end. */
+    private static final int CHECK_MILLIS = 300;
     private static final int RETRY_MILLIS = 100;
     private static final int WATCH_POLL_MILLIS = 2_000;
     private static final long NO_OWNER_REVISION = 0;
@@ -295,6 +298,7 @@
         long previousFence = replacedRevision == NO_OWNER_REVISION
                 ? requireUnchangedJournal(transaction)
                 : replacedRevision;
+        long sentNanos = SteadyClock.nanos();
         Optional<Long> revision;
         try
         {
@@ -306,11 +310,12 @@
         }
         if (revision.isEmpty())
         {
+            sentNanos = SteadyClock.nanos();
             revision = findOwnRevision(termId);
         }
         if (revision.isPresent())
         {
-            serveTerm(new OwnerLease(box, revision.get(), storeLease, previousFence));
+            serveTerm(new OwnerLease(box, revision.get(), storeLease, previousFence, sentNanos));
         }
     }
 
@@ -350,13 +355,13 @@
                 adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
-            termSupervisor.start("lease", () -> renewPeriodically(lease));
+            termSupervisor.start("lease", new LeaseRenewal(platform.store(), lease, events));
             newTerm.begin();
-            while (!lease.awaitEnd(RENEW_MILLIS))
+            while (!lease.awaitEnd(CHECK_MILLIS))
             {
                 if (!lease.maySendCommands())
                 {
-                    lease.end("term not confirmed by the store in time");
+                    lease.end("term not confirmed by the store for " + lease.unconfirmedMillis() + " ms");
                 }
                 else if (SteadyClock.nanos() - startNanos > MIN_TERM_NANOS && ranking.isOutranked(NO_BOX))
                 {
@@ -372,38 +377,6 @@
         }
     }
 
-    /**
-     * Renews the lease periodically. Renewals run in parallel, so that a lost or slow reply doesn't
-     * cost the lease.
-     */
-    private void renewPeriodically(OwnerLease lease) throws InterruptedException
-    {
-        while (!lease.hasEnded())
-        {
-            OwnerTerm.inBackground("renew-" + lease.fence(), () -> renewLease(lease));
-            Thread.sleep(RENEW_MILLIS);
-        }
-    }
-
-    private void renewLease(OwnerLease lease) throws InterruptedException
-    {
-        try
-        {
-            if (platform.store().renewLease(lease.storeLease()))
-            {
-                lease.recordConfirmation();
-            }
-            else
-            {
-                lease.end("lease not found in the store");
-            }
-        }
-        catch (GaugehollowException e)
-        {
-            events.record(EventType.LEASE_NOT_RENEWED, box, e.getMessage());
-        }
-    }
-
     /**
      * Releases ownership permanently, so that another box takes over at once.
      *
@@ -465,7 +438,8 @@
     }
 
     /**
-     * Returns the time since the store last confirmed this box's newest term.
+     * Returns the time since the last call was sent with which the store confirmed this box's newest
+     * term.
      *
      * @return time in milliseconds, or 0 if this box was never the owner
      */
@@ -475,6 +449,17 @@
         return lease == null ? 0 : lease.unconfirmedMillis();
     }
 
+    /**
+     * Returns the time since the store last answered this box with a confirmation of its newest term.
+     *
+     * @return time in milliseconds, or 0 if this box was never the owner
+     */
+    public long unansweredMillis()
+    {
+        OwnerLease lease = currentLease;
+        return lease == null ? 0 : lease.unansweredMillis();
+    }
+
     /** @return the counts of copies over all terms of this box */
     public CopyStatistics copyStatistics()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
@@ -6,6 +6,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.gaugehollow.time.SteadyClock;
@@ -28,20 +29,25 @@
     private final long previousFence;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final AtomicReference<String> endReason = new AtomicReference<>();
-    private volatile long confirmedNanos = SteadyClock.nanos();
+    /** Monotonic time as of which the store has confirmed the term. */
+    private final AtomicLong confirmedNanos;
+    /** Monotonic time at which the newest confirmation was read. */
+    private volatile long answeredNanos = SteadyClock.nanos();
 
     /**
      * @param box id of the box that owns the cell
      * @param ownerRevision revision of the owner's key; also the fencing token
      * @param storeLease id of the store's lease that the key is tied to
      * @param previousFence fencing token of the previous term, or {@link #UNKNOWN_FENCE}
+     * @param sentNanos monotonic time at which the call was sent whose answer showed the owner's key
      */
-    OwnerLease(String box, long ownerRevision, long storeLease, long previousFence)
+    OwnerLease(String box, long ownerRevision, long storeLease, long previousFence, long sentNanos)
     {
         this.previousFence = previousFence;
         this.box = box;
         this.ownerRevision = ownerRevision;
         this.storeLease = storeLease;
+        this.confirmedNanos = new AtomicLong(sentNanos);
     }
 
     /** Ends the term. Only the first reason is kept. */
@@ -51,10 +57,17 @@
         ended.countDown();
     }
 
-    /** Records that the store has confirmed the term. */
-    void recordConfirmation()
+    /**
+     * Records that the store has confirmed the term. The confirmation counts from when its call was
+     * sent: the process may have been paused before it read the answer, and another box may have become
+     * the owner meanwhile. Answers may be read in any order.
+     *
+     * @param sentNanos monotonic time at which the call was sent
+     */
+    void recordConfirmation(long sentNanos)
     {
-        confirmedNanos = SteadyClock.nanos();
+        confirmedNanos.accumulateAndGet(sentNanos, (known, sent) -> sent - known > 0 ? sent : known);
+        answeredNanos = SteadyClock.nanos();
     }
 
     /**
@@ -62,13 +75,23 @@
      */
     boolean maySendCommands()
     {
-        return !hasEnded() && SteadyClock.nanos() - confirmedNanos < MAX_UNCONFIRMED_NANOS;
+        return !hasEnded() && SteadyClock.nanos() - confirmedNanos.get() < MAX_UNCONFIRMED_NANOS;
     }
 
-    /** Returns the time since the store last confirmed the term, in milliseconds. */
+    /** Returns the time since the last call that confirmed the term was sent, in milliseconds. */
     long unconfirmedMillis()
     {
-        return TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - confirmedNanos);
+        return TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - confirmedNanos.get());
+    }
+
+    /**
+     * Returns the time since the store last answered with a confirmation, in milliseconds. Tells
+     * whether the store answers this box, however slowly; it says nothing about the right to send
+     * commands.
+     */
+    long unansweredMillis()
+    {
+        return TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - answeredNanos);
     }
 
     boolean hasEnded()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -115,7 +115,8 @@
         {
             this.planner = new Planner(cellState, new NoTickets(), score, StopCosts.DEFAULT);
             this.waitScan = new WaitScan(cellState, new WaitClassifier(cellState, planner, new NoTickets()),
-                    new OwnerLease("", 0, 0, OwnerLease.UNKNOWN_FENCE), SteadyClock.nanos());
+                    new OwnerLease("", 0, 0, OwnerLease.UNKNOWN_FENCE, SteadyClock.nanos()),
+                    SteadyClock.nanos());
         }
 
         int run()
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -275,7 +275,7 @@
     }
 
     @Override
-    public synchronized boolean renewLease(long lease)
+    public synchronized boolean renewLease(long lease) throws InterruptedException
     {
         checkAvailable();
         return !revokedLeases.contains(lease);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/BacklogScanTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/BacklogScanTest.java
@@ -23,6 +23,7 @@
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.worker.RunEnd;
 import org.junit.jupiter.api.Test;
 
@@ -36,7 +37,7 @@
 
     private final CellState cellState = new CellState(() -> NOW_NANOS, 0);
     private final Planner planner = new Planner(cellState, new NoTickets(), new WaitingFirstScore(0.5));
-    private final OwnerLease lease = new OwnerLease("self", 7, 1, 0);
+    private final OwnerLease lease = new OwnerLease("self", 7, 1, 0, SteadyClock.nanos());
     private int jobCount;
 
     private TrackedWorker addWorker(int cpu)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -50,7 +50,7 @@
     {
         long revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, 0).put(JobKeys.OWNER, TERM)
                 .put(JobKeys.JOURNAL, TERM)).orElseThrow();
-        owner = new OwnerLease("box", revision, 1, OwnerLease.UNKNOWN_FENCE);
+        owner = new OwnerLease("box", revision, 1, OwnerLease.UNKNOWN_FENCE, SteadyClock.nanos());
         journal = new Journal(store, cellState, owner, events);
         supervisor.start("journal", journal);
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateStore.java
@@ -77,7 +77,7 @@
     }
 
     @Override
-    public synchronized boolean renewLease(long lease)
+    public synchronized boolean renewLease(long lease) throws InterruptedException
     {
         renewed.add(lease);
         return super.renewLease(lease);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SummaryWriterTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SummaryWriterTest.java
@@ -25,7 +25,8 @@
         long lease = store.grantLease(1_000);
         long revision = store.commit(new StoreTransaction().put(JobKeys.OWNER, new byte[]{'o'}, lease))
                 .orElseThrow();
-        OwnerLease owner = new OwnerLease("bole-1", revision, lease, OwnerLease.UNKNOWN_FENCE);
+        OwnerLease owner = new OwnerLease("bole-1", revision, lease, OwnerLease.UNKNOWN_FENCE,
+                SteadyClock.nanos());
         CellState cellState = new CellState(SteadyClock::nanos, 0);
         Thread writer = OwnerTerm.inBackground("summary", new SummaryWriter(store, cellState, owner)::run);
         long end = SteadyClock.nanos() + TimeUnit.SECONDS.toNanos(5);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
+import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.urgency.StopCosts;
 
 /** Runs a term of an owner on an in-memory platform and confirms it as the election does. */
@@ -64,7 +65,7 @@
                 new StoreTransaction().put(JobKeys.OWNER, ownerValue).put(JobKeys.JOURNAL, ownerValue))
                 .orElseThrow();
         supervisor = new Supervisor(box, events);
-        lease = new OwnerLease(box, revision, 1, previousFence);
+        lease = new OwnerLease(box, revision, 1, previousFence, SteadyClock.nanos());
         term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
                 StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), new CopyStatistics(), retentionNanos);
@@ -82,7 +83,7 @@
     {
         while (true)
         {
-            lease.recordConfirmation();
+            lease.recordConfirmation(SteadyClock.nanos());
             Thread.sleep(CONFIRM_MILLIS);
         }
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitMonitorTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitMonitorTest.java
@@ -13,6 +13,7 @@
 import org.gaugehollow.event.Event;
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.time.SteadyClock;
 import org.junit.jupiter.api.Test;
 
 /** Tests when waits are logged, and guards against unlimited lines. */
@@ -23,7 +24,8 @@
     private static final int REPORT_MILLIS = 500;
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
-    private final WaitMonitor monitor = new WaitMonitor(events, new OwnerLease("box", 1, 1, 0), BEGIN_NANOS);
+    private final WaitMonitor monitor = new WaitMonitor(events,
+            new OwnerLease("box", 1, 1, 0, SteadyClock.nanos()), BEGIN_NANOS);
 
     private static long nanosAt(long millis)
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitScanTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/WaitScanTest.java
@@ -32,7 +32,7 @@
     private final Planner planner = new Planner(cellState, adviceCache, new WaitingFirstScore(0.5));
     private final long beginNanos = SteadyClock.nanos();
     private final WaitScan scan = new WaitScan(cellState, new WaitClassifier(cellState, planner, adviceCache),
-            new OwnerLease("box", 1, 1, 0), beginNanos);
+            new OwnerLease("box", 1, 1, 0, SteadyClock.nanos()), beginNanos);
 
     private void accept(int number, int tasks)
     {
