OwnershipCheck: a term is confirmed by a read of the owner's key

Cause: a renewal of the lease counted as a confirmation of the term. A box that replaces a suspected owner replaces its key by compare-and-swap while the old lease lives on, so the old owner could renew it for ever. LeaseRenewal keeps the lease alone. Tests: passes now; LateConfirmationTest pauses renewals and reads, and its read variant fails when the time of the reading is put back (scratch copy). OwnerMonitorTest, UnconfirmedTermTest, ExpiringLeasesTest, ArchitectureTest: passed.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerOwnerProbe.java
@@ -83,7 +83,7 @@
             Thread.sleep(call.getWaitMillis());
         }
         OwnerReply.Builder reply = OwnerReply.newBuilder().setIsOwner(isOwner)
-                .setUnconfirmedMillis(election.unansweredMillis())
+                .setUnconfirmedMillis(election.unrenewedMillis())
                 .setSilent(monitor.isOwnerUnresponsive(call.getOwner()));
         if (isOwner)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -32,7 +32,8 @@
 
     OWNER_BEGAN(207, Level.INFO, "This box became the cell's owner; the text gives its fencing token."),
     OWNER_ENDED(208, Level.WARN, "This box is no longer the cell's owner; the text says why."),
-    LEASE_NOT_RENEWED(209, Level.WARN, "The store did not confirm the owner's lease."),
+    LEASE_NOT_RENEWED(209, Level.WARN,
+            "The store did not renew the owner's lease, or the owner's key was not read."),
     OWNER_SUSPECTED(210, Level.WARN,
             "The cell's owner seems to have failed or to have lost the store; this box tries to take over."),
     CONFIRMED_LATE(211, Level.WARN,
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -47,7 +47,7 @@
      * Otherwise a recovered worker could stay without a lease until the store answers again.
      * Corresponds to three renewals of the term.
      */
-    private static final long MAX_UNANSWERED_MILLIS = 900;
+    private static final long MAX_UNRENEWED_MILLIS = 900;
     /** Time for which a worker remains recorded after its lease has expired. */
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long PERIOD_MILLIS = 200;
@@ -174,7 +174,7 @@
 
     private void addUnresponsive(long now)
     {
-        if (owner.unansweredMillis() > MAX_UNANSWERED_MILLIS)
+        if (owner.unrenewedMillis() > MAX_UNRENEWED_MILLIS)
         {
             return;
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -42,9 +42,7 @@
  */
 public final class OwnerElection implements SupervisedTask
 {
-    /** Duration of the store's lease of a term. */
-    static final int LEASE_MILLIS = 1_000;
-
+    private static final int LEASE_MILLIS = 1_000;
     /** Interval at which the owner checks whether its term has to end. */
     private static final int CHECK_MILLIS = 300;
     private static final int RETRY_MILLIS = 100;
@@ -356,6 +354,7 @@
         {
             currentTerm = Optional.of(newTerm);
             termSupervisor.start("lease", new LeaseRenewal(platform.store(), lease, events));
+            termSupervisor.start("ownership", new OwnershipCheck(platform.store(), lease, events));
             newTerm.begin();
             while (!lease.awaitEnd(CHECK_MILLIS))
             {
@@ -450,14 +449,14 @@
     }
 
     /**
-     * Returns the time since the store last answered this box with a confirmation of its newest term.
+     * Returns the time since the store last answered a renewal of this box's newest term.
      *
      * @return time in milliseconds, or 0 if this box was never the owner
      */
-    public long unansweredMillis()
+    public long unrenewedMillis()
     {
         OwnerLease lease = currentLease;
-        return lease == null ? 0 : lease.unansweredMillis();
+        return lease == null ? 0 : lease.unrenewedMillis();
     }
 
     /** @return the counts of copies over all terms of this box */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
@@ -31,8 +31,8 @@
     private final AtomicReference<String> endReason = new AtomicReference<>();
     /** Monotonic time as of which the store has confirmed the term. */
     private final AtomicLong confirmedNanos;
-    /** Monotonic time at which the newest confirmation was read. */
-    private volatile long answeredNanos = SteadyClock.nanos();
+    /** Monotonic time at which the store last answered a renewal of the lease. */
+    private volatile long renewedNanos = SteadyClock.nanos();
 
     /**
      * @param box id of the box that owns the cell
@@ -58,16 +58,22 @@
     }
 
     /**
-     * Records that the store has confirmed the term. The confirmation counts from when its call was
-     * sent: the process may have been paused before it read the answer, and another box may have become
-     * the owner meanwhile. Answers may be read in any order.
+     * Records that the store has confirmed the term, that is, answered with the owner's key. The
+     * confirmation counts from when its call was sent: the process may have been paused before it read
+     * the answer, and another box may have become the owner meanwhile. Answers may be read in any
+     * order.
      *
      * @param sentNanos monotonic time at which the call was sent
      */
     void recordConfirmation(long sentNanos)
     {
         confirmedNanos.accumulateAndGet(sentNanos, (known, sent) -> sent - known > 0 ? sent : known);
-        answeredNanos = SteadyClock.nanos();
+    }
+
+    /** Records that the store has answered a renewal of the lease. */
+    void recordRenewal()
+    {
+        renewedNanos = SteadyClock.nanos();
     }
 
     /**
@@ -85,13 +91,13 @@
     }
 
     /**
-     * Returns the time since the store last answered with a confirmation, in milliseconds. Tells
+     * Returns the time since the store last answered a renewal of the lease, in milliseconds. Tells
      * whether the store answers this box, however slowly; it says nothing about the right to send
      * commands.
      */
-    long unansweredMillis()
+    long unrenewedMillis()
     {
-        return TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - answeredNanos);
+        return TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - renewedNanos);
     }
 
     boolean hasEnded()
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -275,7 +275,7 @@
     }
 
     @Override
-    public synchronized boolean renewLease(long lease) throws InterruptedException
+    public synchronized boolean renewLease(long lease)
     {
         checkAvailable();
         return !revokedLeases.contains(lease);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
@@ -13,9 +13,11 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
+import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.urgency.StopCosts;
@@ -23,6 +25,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests terms whose confirmation by the store is read late, as after a pause of the process. */
 @Execution(ExecutionMode.CONCURRENT)
@@ -39,28 +43,37 @@
     private final Supervisor supervisor = new Supervisor("test", events);
     private OwnerElection election;
 
-    /** Kinds of calls that confirm a term. */
-    private enum Confirmation
+    /** Kinds of calls of an owner about its term. */
+    private enum TermCall
     {
         NONE,
         ACQUISITION,
-        RENEWAL
+        RENEWAL,
+        READ
     }
 
     /** Store whose answer to one call is read after a pause and which is down from that call on. */
     private static final class PauseStore extends FakeStore
     {
-        private volatile Confirmation paused = Confirmation.NONE;
+        private volatile TermCall paused = TermCall.NONE;
         private volatile long sentNanos;
 
-        private void pauseIf(Confirmation confirmation) throws InterruptedException
+        private void pauseAfter(TermCall call)
         {
-            if (paused == confirmation)
+            if (paused != call)
+            {
+                return;
+            }
+            sentNanos = SteadyClock.nanos();
+            setDown(true);
+            try
             {
-                sentNanos = SteadyClock.nanos();
-                setDown(true);
                 Thread.sleep(PAUSE_MILLIS);
             }
+            catch (InterruptedException e)
+            {
+                Thread.currentThread().interrupt();
+            }
         }
 
         long millisSinceSent()
@@ -72,18 +85,30 @@
         public Optional<Long> commit(StoreTransaction transaction) throws InterruptedException
         {
             Optional<Long> revision = super.commit(transaction);
-            pauseIf(Confirmation.ACQUISITION);
+            pauseAfter(TermCall.ACQUISITION);
             return revision;
         }
 
         @Override
         @SuppressWarnings("UnsynchronizedOverridesSynchronized") // other calls must not wait for the pause
-        public boolean renewLease(long lease) throws InterruptedException
+        public boolean renewLease(long lease)
         {
             boolean isRenewed = super.renewLease(lease);
-            pauseIf(Confirmation.RENEWAL);
+            pauseAfter(TermCall.RENEWAL);
             return isRenewed;
         }
+
+        @Override
+        @SuppressWarnings("UnsynchronizedOverridesSynchronized") // other calls must not wait for the pause
+        public Optional<StoredValue> get(String key)
+        {
+            Optional<StoredValue> value = super.get(key);
+            if (key.equals(JobKeys.OWNER))
+            {
+                pauseAfter(TermCall.READ);
+            }
+            return value;
+        }
     }
 
     @AfterEach
@@ -125,12 +150,13 @@
     }
 
     /** Guards against two runs of a task, because a paused owner goes on after it was replaced. */
-    @Test
-    void renewalAnswerReadLateDoesNotProlongTerm() throws InterruptedException
+    @ParameterizedTest
+    @EnumSource(value = TermCall.class, names = {"RENEWAL", "READ"})
+    void answerReadLateDoesNotProlongTerm(TermCall call) throws InterruptedException
     {
         startElection();
         assertThat(becomesOwnerWithin(TIMEOUT_MILLIS)).isTrue();
-        store.paused = Confirmation.RENEWAL;
+        store.paused = call;
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> store.sentNanos != 0)).isTrue();
         long maxTermMillis = TimeUnit.NANOSECONDS.toMillis(OwnerLease.MAX_UNCONFIRMED_NANOS)
                 + END_MARGIN_MILLIS;
@@ -141,7 +167,7 @@
     @Test
     void acquisitionAnswerReadLateDoesNotProlongTerm() throws InterruptedException
     {
-        store.paused = Confirmation.ACQUISITION;
+        store.paused = TermCall.ACQUISITION;
         startElection();
         assertThat(becomesOwnerWithin(PAUSE_MILLIS + TIMEOUT_MILLIS)).isTrue();
         assertThat(election.unconfirmedMillis()).isAtLeast(store.millisSinceSent());
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateStore.java
@@ -77,7 +77,7 @@
     }
 
     @Override
-    public synchronized boolean renewLease(long lease) throws InterruptedException
+    public synchronized boolean renewLease(long lease)
     {
         renewed.add(lease);
         return super.renewLease(lease);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -165,6 +165,20 @@
         assertThat(ownerKey().modRevision()).isEqualTo(key.modRevision());
     }
 
+    /**
+     * Guards against two runs of a task, because an owner that was replaced while its lease lives takes
+     * the renewals of that lease for confirmations of its term.
+     */
+    @Test
+    void replacedOwnerWhoseLeaseLivesEndsItsTerm() throws InterruptedException
+    {
+        startElection();
+        assertThat(TestJobs.waitUntil(3_000, () -> election.isOwner())).isTrue();
+        probe.setOwner(OTHER, 100);
+        acquireForOther();
+        assertThat(TestJobs.waitUntil(3_000, () -> !election.isOwner())).isTrue();
+    }
+
     @Test
     void ownerReleasesOwnershipToHigherRankedBox() throws InterruptedException
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -83,6 +83,7 @@
     {
         while (true)
         {
+            lease.recordRenewal();
             lease.recordConfirmation(SteadyClock.nanos());
             Thread.sleep(CONFIRM_MILLIS);
         }
