SummaryWriter: a write of the counts requires the revision that it replaces

Cause: a write of the counts required only that the owner's key is unchanged. A write of the same owner that got no answer and was done 4 s late replaced newer counts, and the writer, which compares its counts with what it believes to have written, did not write again. Evidence: the record of the run: the write of {"goal":1} is done at 6.46 s with status 200, and all boxes answer 1 from the first question on. The logs told nothing of the counts: the gauge gaugehollow_queued_jobs now gives what the owner counts, and E538 each write that failed, so that a wrong count of the owner, writes that fail and a replaced value can be told apart. Fix: each write requires the revision of the counts that it replaces, as all other writes of an owner do. So once a newer write is done, no earlier one can be. A refused write reads the revision and is repeated with the counts of then. Counts whose write has an unknown outcome count as not written: they were not written again if they changed back meanwhile (the same class).

--- a/gaugehollow/src/main/java/org/gaugehollow/box/OwnerGauges.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/OwnerGauges.java
@@ -4,6 +4,9 @@
  */
 package org.gaugehollow.box;
 
+import java.util.Map;
+import java.util.stream.Collectors;
+
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.schedule.OwnerElection;
 
@@ -21,12 +24,21 @@
         metrics.gauge("gaugehollow_owner_unconfirmed_milliseconds",
                 "Time since the last call with which the store confirmed the term was sent; 0 elsewhere.",
                 () -> election.isOwner() ? election.unconfirmedMillis() : 0);
+        metrics.gauge("gaugehollow_queued_jobs",
+                "Jobs that have not started, as counted by this box where it owns the cell.", "queue",
+                () -> toDoubles(election.status().queuedJobs()));
         registerWaits(metrics, election);
         registerSpeeds(metrics, election);
         registerCustomers(metrics, election);
         registerStoppedWork(metrics, election);
     }
 
+    private static Map<String, Double> toDoubles(Map<String, Integer> counts)
+    {
+        return counts.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, count -> (double) count.getValue()));
+    }
+
     private static void registerWaits(Metrics metrics, OwnerElection election)
     {
         metrics.gauge("gaugehollow_waiting_tasks",
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -113,6 +113,8 @@
             "This box no longer refuses jobs of a queue; the text says for how long it did and how many."),
     JOB_DEFERRED(537, Level.INFO,
             "A job can no longer be in time and is planned after jobs that can; the text gives its outlook and what decides its place."),
+    COUNTS_DELAYED(538, Level.WARN,
+            "The counts of waiting jobs were not written and are written again; the text gives the counts and why."),
     CONFIG_APPLIED(600, Level.INFO, "A configuration change was applied on this box."),
     CONFIG_RESYNCED(601, Level.INFO, "The whole configuration was read again."),
     CONFIG_WRITE_SETTLED(602, Level.WARN, "A write got no answer; a read determined its outcome."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -73,6 +73,7 @@
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
+    private final SummaryWriter summaryWriter;
 
     OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
             Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
@@ -98,6 +99,7 @@
         this.jobReader = new JobReader(this, platform.store(), this::startWorkerTasks);
         this.workerSessions = new WorkerSessions(this, platform, supervisor, config);
         this.expiringLeases = new ExpiringLeases(platform.store(), cellState, lease, events);
+        this.summaryWriter = new SummaryWriter(platform.store(), cellState, lease, events);
     }
 
     /** Restores the state recorded by earlier owners and starts the tasks of the term. */
@@ -131,7 +133,7 @@
      */
     private void startWorkerTasks()
     {
-        supervisor.start("summary", new SummaryWriter(platform.store(), cellState, lease));
+        supervisor.start("summary", summaryWriter);
         supervisor.start("workers", new KeyPoller(platform.store(), platform.workerPrefix(),
                 WORKER_POLL_MILLIS, workerSessions, events));
     }
@@ -431,7 +433,7 @@
     /** Returns what the owner knows of the cell. */
     TermStatus status()
     {
-        return reports.status();
+        return reports.status(summaryWriter.counts());
     }
 
     OwnerLease lease()
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SummaryWriter.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SummaryWriter.java
@@ -7,16 +7,21 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
+import org.gaugehollow.platform.HedgedCall;
 import org.gaugehollow.platform.PlatformStore;
 import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.SupervisedTask;
 
 /**
  * Writes the number of jobs per queue that have not started, whenever it changes. The value is tied
- * to the owner's lease, so that it is removed when its owner is gone.
+ * to the owner's lease, so that it is removed when its owner is gone. Each write requires the
+ * revision that it replaces, so that a write that is done late doesn't replace newer counts.
  */
 final class SummaryWriter implements SupervisedTask
 {
@@ -25,12 +30,29 @@
     private final PlatformStore store;
     private final CellState cellState;
     private final OwnerLease owner;
+    private final EventLog events;
+    private volatile Map<String, Integer> counts = Map.of();
+    /** Revision of the stored counts as far as this owner knows, 0 if there are none. */
+    private long revision;
 
-    SummaryWriter(PlatformStore store, CellState cellState, OwnerLease owner)
+    /**
+     * @param store the platform's store
+     * @param cellState state that knows the jobs
+     * @param owner this box's term
+     * @param events log for failed writes
+     */
+    SummaryWriter(PlatformStore store, CellState cellState, OwnerLease owner, EventLog events)
     {
         this.store = store;
         this.cellState = cellState;
         this.owner = owner;
+        this.events = events;
+    }
+
+    /** Returns the newest counts by queue, whether or not they are stored. */
+    Map<String, Integer> counts()
+    {
+        return counts;
     }
 
     @Override
@@ -39,31 +61,48 @@
         Map<String, Integer> written = null;
         while (!owner.hasEnded())
         {
-            Map<String, Integer> counts;
+            Map<String, Integer> newest;
             synchronized (cellState)
             {
-                counts = cellState.countQueuedJobs();
+                newest = cellState.countQueuedJobs();
             }
-            if (!counts.equals(written) && write(counts))
+            counts = newest;
+            if (!newest.equals(written))
             {
-                written = counts;
+                written = write(newest) ? newest : null;
             }
             Thread.sleep(PERIOD_MILLIS);
         }
     }
 
-    private boolean write(Map<String, Integer> counts) throws InterruptedException
+    /** Writes the counts and returns whether they are certainly stored. */
+    private boolean write(Map<String, Integer> newest) throws InterruptedException
     {
+        StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
+                .require(JobKeys.SUMMARY, revision)
+                .put(JobKeys.SUMMARY, Json.write(newest), owner.storeLease());
         try
         {
-            Optional<Long> revision = store
-                    .commit(new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
-                            .put(JobKeys.SUMMARY, Json.write(counts), owner.storeLease()));
-            return revision.isPresent();
+            Optional<Long> written = HedgedCall.write(() -> store.commit(transaction));
+            if (written.isPresent())
+            {
+                revision = written.get();
+                return true;
+            }
+            long expected = revision;
+            revision = readRevision();
+            events.record(EventType.COUNTS_DELAYED, owner.box(),
+                    newest + " not written: expected revision " + expected + ", found " + revision);
         }
         catch (GaugehollowException e)
         {
-            return false;
+            events.record(EventType.COUNTS_DELAYED, owner.box(), newest + " not written: " + e.getMessage());
         }
+        return false;
+    }
+
+    private long readRevision() throws InterruptedException
+    {
+        return HedgedCall.read(() -> store.get(JobKeys.SUMMARY)).map(StoredValue::modRevision).orElse(0L);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermReports.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermReports.java
@@ -104,8 +104,8 @@
         }
     }
 
-    TermStatus status()
+    TermStatus status(Map<String, Integer> queuedJobs)
     {
-        return new TermStatus(waitMonitor.snapshot(), speedReport.snapshot(), customers, backlog);
+        return new TermStatus(waitMonitor.snapshot(), speedReport.snapshot(), customers, backlog, queuedJobs);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermStatus.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermStatus.java
@@ -4,6 +4,8 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.Map;
+
 /**
  * What an owner knows of the cell, for metrics and for other boxes.
  *
@@ -11,11 +13,12 @@
  * @param speeds the estimated speeds of the workers
  * @param customers the shares and waiting tasks of the customers
  * @param backlog the newest account of the waiting work
+ * @param queuedJobs the number of jobs that have not started, by queue
  */
 public record TermStatus(WaitSnapshot waits, SpeedSnapshot speeds, CustomerSnapshot customers,
-        TimedBacklog backlog)
+        TimedBacklog backlog, Map<String, Integer> queuedJobs)
 {
     /** The status of a box that does not own the cell. */
     public static final TermStatus NONE = new TermStatus(WaitSnapshot.EMPTY, SpeedSnapshot.EMPTY,
-            CustomerSnapshot.EMPTY, TimedBacklog.NONE);
+            CustomerSnapshot.EMPTY, TimedBacklog.NONE, Map.of());
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/FakeStore.java
@@ -71,6 +71,12 @@
         heldTimeoutMillis = millis;
     }
 
+    /** @return whether a commit is held back */
+    public synchronized boolean hasHeldWrites()
+    {
+        return !heldWrites.isEmpty();
+    }
+
     /** Applies the held writes whose conditions hold. */
     public synchronized void deliverHeldWrites() throws InterruptedException
     {
