BoxRegistry: a registration requires the revision that it replaces

What callers would see: a box that the others do not know for the rest of its life, so it neither helps them nor is helped when the store does not answer. A registration that got no answer and was done late tied the key to the lease of that attempt, which nobody renews; the key went with it, while the box renewed the lease of its second attempt. Fix: the box reads the key before it registers and requires that revision, so a late write is refused. One read of the store more at each start.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -23,6 +23,7 @@
 import org.gaugehollow.platform.KeyFollower;
 import org.gaugehollow.platform.PlatformStore;
 import org.gaugehollow.platform.StoreTransaction;
+import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.schedule.AdviceDispatcher;
 import org.gaugehollow.schedule.OwnerElection;
 import org.gaugehollow.supervise.SupervisedTask;
@@ -92,8 +93,10 @@
             try
             {
                 long lease = store.grantLease(LEASE_MILLIS);
-                store.commit(new StoreTransaction().put(JobKeys.BOXES + box, Json.write(ownEntry), lease));
-                renew(lease);
+                if (register(lease))
+                {
+                    renew(lease);
+                }
             }
             catch (GaugehollowException e)
             {
@@ -102,6 +105,21 @@
         }
     }
 
+    /**
+     * Writes the registration unless another write of it takes effect meanwhile. A late write must not
+     * tie the registration to a lease that is no longer renewed.
+     *
+     * @return whether the registration is tied to the lease
+     */
+    private boolean register(long lease) throws InterruptedException
+    {
+        String key = JobKeys.BOXES + box;
+        long revision = store.get(key).map(StoredValue::modRevision).orElse(0L);
+        StoreTransaction transaction = new StoreTransaction().require(key, revision).put(key,
+                Json.write(ownEntry), lease);
+        return store.commit(transaction).isPresent();
+    }
+
     private void renew(long lease) throws InterruptedException
     {
         while (store.renewLease(lease))
--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -8,6 +8,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
@@ -19,6 +20,8 @@
 import org.gaugehollow.peer.PeerLink;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.schedule.AdviceDispatcher;
+import org.gaugehollow.supervise.Supervisor;
+import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.worker.Advice;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +29,10 @@
 /** Guards against losing or confusing peers when boxes restart under the same address. */
 class BoxRegistryTest
 {
+    /** Time after which a held write fails with an unknown outcome. */
+    private static final int HELD_MILLIS = 100;
+    /** Id of the first lease that the store grants. */
+    private static final long FIRST_LEASE = 1;
     private static final byte[] ENTRY = Json.write(new BoxRegistry.Entry("127.0.0.1:1", 1_000));
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
@@ -79,6 +86,35 @@
         assertThat(directory.link("127.0.0.1:1")).isNotSameInstanceAs(link);
     }
 
+    /**
+     * Guards against a box that stays unregistered, because a late write tied its key to an old lease.
+     */
+    @Test
+    void registrationWrittenLateDoesNotReplaceNewerOne() throws InterruptedException
+    {
+        FakeStore store = new FakeStore();
+        BoxRegistry late = new BoxRegistry("late", new BoxRegistry.Entry("127.0.0.1:3", 700), store,
+                directory, adviceDispatcher, events);
+        store.holdWrites(1, HELD_MILLIS);
+        try (Supervisor supervisor = new Supervisor("test", events))
+        {
+            supervisor.start("registry", late);
+            awaitRegistration(store, "late");
+            store.deliverHeldWrites();
+            store.revokeLease(FIRST_LEASE);
+            assertThat(store.get(JobKeys.BOXES + "late")).isPresent();
+        }
+    }
+
+    private static void awaitRegistration(FakeStore store, String box) throws InterruptedException
+    {
+        long endNanos = SteadyClock.nanos() + TimeUnit.SECONDS.toNanos(5);
+        while (store.get(JobKeys.BOXES + box).isEmpty() && SteadyClock.nanos() < endNanos)
+        {
+            Thread.sleep(10);
+        }
+    }
+
     @Test
     void largerBoxOutranksThisOneAfterMinimumTime() throws InterruptedException
     {
