BoxRegistry: registrations at one address are in the order of their processes

Cause: the condition covers late writes of the same process only. The registration of a process that was killed may be done after its successor at the same address has registered. It then has the higher revision, so the other boxes take it for the newer incarnation and drop the living one. Fix: each registration writes a key of its address and requires the revision of that key which it read first. A process reads it after its predecessor has ended, so nothing of the predecessor can be done later. This takes the place of the condition on the box's own key, which it includes.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -106,17 +106,19 @@
     }
 
     /**
-     * Writes the registration unless another write of it takes effect meanwhile. A late write must not
-     * tie the registration to a lease that is no longer renewed.
+     * Writes the registration unless another process registers at the same address meanwhile. The
+     * address has a key of its own, so that registrations at one address are in the order of their
+     * processes: a late one is refused, whether of an earlier attempt or of a process that has ended.
      *
      * @return whether the registration is tied to the lease
      */
     private boolean register(long lease) throws InterruptedException
     {
-        String key = JobKeys.BOXES + box;
-        long revision = store.get(key).map(StoredValue::modRevision).orElse(0L);
-        StoreTransaction transaction = new StoreTransaction().require(key, revision).put(key,
-                Json.write(ownEntry), lease);
+        String addressKey = JobKeys.BOX_ADDRESSES + ownEntry.address();
+        long revision = store.get(addressKey).map(StoredValue::modRevision).orElse(0L);
+        StoreTransaction transaction = new StoreTransaction().require(addressKey, revision)
+                .put(JobKeys.BOXES + box, Json.write(ownEntry), lease)
+                .put(addressKey, Json.write(box), lease);
         return store.commit(transaction).isPresent();
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
@@ -23,6 +23,8 @@
     public static final String SUMMARY = "gaugehollow/summary";
     /** Prefix of the boxes' registrations. */
     public static final String BOXES = "gaugehollow/boxes/";
+    /** Prefix of the keys by address that put the registrations at one address in order. */
+    public static final String BOX_ADDRESSES = "gaugehollow/addresses/";
 
     private static final String CANCEL = "/cancel";
     private static final String SPEC = "/spec";
--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -106,6 +106,35 @@
         }
     }
 
+    /**
+     * Guards against a late registration of a process that ended, which would displace its successor.
+     */
+    @Test
+    void registrationWrittenAfterSuccessorRegisteredIsRefused() throws InterruptedException
+    {
+        FakeStore store = new FakeStore();
+        BoxRegistry.Entry entry = new BoxRegistry.Entry("127.0.0.1:3", 700);
+        store.holdWrites(1, HELD_MILLIS);
+        try (Supervisor supervisor = new Supervisor("ended", events))
+        {
+            supervisor.start("registry",
+                    new BoxRegistry("a~1", entry, store, directory, adviceDispatcher, events));
+            while (!store.hasHeldWrites())
+            {
+                Thread.sleep(10);
+            }
+        }
+        try (Supervisor supervisor = new Supervisor("successor", events))
+        {
+            supervisor.start("registry",
+                    new BoxRegistry("a~2", entry, store, directory, adviceDispatcher, events));
+            awaitRegistration(store, "a~2");
+            store.deliverHeldWrites();
+            assertThat(store.get(JobKeys.BOXES + "a~2")).isPresent();
+            assertThat(store.get(JobKeys.BOXES + "a~1")).isEmpty();
+        }
+    }
+
     private static void awaitRegistration(FakeStore store, String box) throws InterruptedException
     {
         long endNanos = SteadyClock.nanos() + TimeUnit.SECONDS.toNanos(5);
