OwnershipCheck: a term without confirmation ends, whether or not it has begun its work

What callers would see: nothing runs twice, since no command is sent; but the box counts itself as owner for as long as the store does not answer it, and tells its peers so. Cause: the limit of 8 s without a confirmation was checked in the loop that follows OwnerTerm.begin, and begin reads the store until it answers. Evidence: LateConfirmationTest.answerReadLateDoesNotProlongTerm, both variants, failed once beside load ("expected to be true", the box was still the owner): the store had gone down before begin was through. The new test termThatCannotBeginEndsOnceItIsUnconfirmed arranges this and failed on the code before (1 of 1). Fix: OwnershipCheck, which knows the confirmations, ends the term. It reads it before now, and asks for the same.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -43,7 +43,7 @@
 public final class OwnerElection implements SupervisedTask
 {
     private static final int LEASE_MILLIS = 1_000;
-    /** Interval at which the owner checks whether its term has to end. */
+    /** Interval at which the owner checks whether a higher-ranked box is available. */
     private static final int CHECK_MILLIS = 300;
     private static final int RETRY_MILLIS = 100;
     private static final int WATCH_POLL_MILLIS = 2_000;
@@ -358,11 +358,7 @@
             newTerm.begin();
             while (!lease.awaitEnd(CHECK_MILLIS))
             {
-                if (!lease.maySendCommands())
-                {
-                    lease.end("term not confirmed by the store for " + lease.unconfirmedMillis() + " ms");
-                }
-                else if (SteadyClock.nanos() - startNanos > MIN_TERM_NANOS && ranking.isOutranked(NO_BOX))
+                if (SteadyClock.nanos() - startNanos > MIN_TERM_NANOS && ranking.isOutranked(NO_BOX))
                 {
                     releaseOwnership(lease, "a higher-ranked box is available");
                 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnershipCheck.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnershipCheck.java
@@ -17,10 +17,10 @@
 import org.gaugehollow.time.SteadyClock;
 
 /**
- * Confirms a term by reading the owner's key, and ends the term once the key is another one. A
- * renewal of the lease does not show this, because a box that replaces a suspected owner replaces
- * the key while the lease lives on. Reads run in parallel, so that a lost or slow reply doesn't
- * cost the term.
+ * Confirms a term by reading the owner's key, and ends the term once the key is another one or the
+ * term lacks confirmation for too long. A renewal of the lease does not show this, because a box
+ * that replaces a suspected owner replaces the key while the lease lives on. Reads run in parallel,
+ * so that a lost or slow reply doesn't cost the term.
  */
 final class OwnershipCheck implements SupervisedTask
 {
@@ -51,6 +51,10 @@
         {
             OwnerTerm.inBackground("owner-key-" + lease.fence(), this::check);
             Thread.sleep(PERIOD_MILLIS);
+            if (!lease.maySendCommands())
+            {
+                lease.end("term not confirmed by the store for " + lease.unconfirmedMillis() + " ms");
+            }
         }
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
@@ -158,9 +158,7 @@
         assertThat(becomesOwnerWithin(TIMEOUT_MILLIS)).isTrue();
         store.paused = call;
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> store.sentNanos != 0)).isTrue();
-        long maxTermMillis = TimeUnit.NANOSECONDS.toMillis(OwnerLease.MAX_UNCONFIRMED_NANOS)
-                + END_MARGIN_MILLIS;
-        assertThat(TestJobs.waitUntil(maxTermMillis, () -> !election.isOwner())).isTrue();
+        assertThat(endsInTime()).isTrue();
     }
 
     /** Guards against two runs of a task, because a box was paused while it became the owner. */
@@ -170,6 +168,24 @@
         store.paused = TermCall.ACQUISITION;
         startElection();
         assertThat(becomesOwnerWithin(PAUSE_MILLIS + TIMEOUT_MILLIS)).isTrue();
-        assertThat(election.unconfirmedMillis()).isAtLeast(store.millisSinceSent());
+        long sinceSentMillis = store.millisSinceSent();
+        assertThat(election.unconfirmedMillis()).isAtLeast(sinceSentMillis);
+    }
+
+    /** Guards against an owner that keeps its term, because the store fails while the term begins. */
+    @Test
+    void termThatCannotBeginEndsOnceItIsUnconfirmed() throws InterruptedException
+    {
+        store.paused = TermCall.ACQUISITION;
+        startElection();
+        assertThat(becomesOwnerWithin(PAUSE_MILLIS + TIMEOUT_MILLIS)).isTrue();
+        assertThat(endsInTime()).isTrue();
+    }
+
+    private boolean endsInTime() throws InterruptedException
+    {
+        long maxTermMillis = TimeUnit.NANOSECONDS.toMillis(OwnerLease.MAX_UNCONFIRMED_NANOS)
+                + END_MARGIN_MILLIS;
+        return TestJobs.waitUntil(maxTermMillis - store.millisSinceSent(), () -> !election.isOwner());
     }
 }
