EarlierLeases: leases of an owner that has ended are waited for no longer than they last

Cause: a new owner waits 14.9 s for each worker that it can't reach and of whose lease it has no record: 8 s in which the owner before may have gone on without the store, and one lease. The record is written when a worker has not answered for 1 s, and this owner died before that. But it had died, so nobody renewed the leases any more. From then on the first 8 s are known to be over. Fix: a box that registers at the address of another proves that the process there has ended, since both listen on it, and their registrations are in the order of the processes. Once that is known of the previous owner, and its term was seen for so long that nothing is left of the owners before it, the wait is one lease from then. An owner that is merely silent, cut off or whose connections are refused is waited for as before, since it may run. E408 tells the new wait.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -25,12 +26,12 @@
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.schedule.AdviceDispatcher;
-import org.gaugehollow.schedule.OwnerElection;
+import org.gaugehollow.schedule.OtherBoxes;
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
 
 /** Registers this box in the store under a lease and tracks the other registered boxes. */
-final class BoxRegistry implements SupervisedTask, KeyFollower.Listener, OwnerElection.Ranking
+final class BoxRegistry implements SupervisedTask, KeyFollower.Listener, OtherBoxes
 {
     private static final int LEASE_MILLIS = 3_000;
     private static final int RENEW_INTERVAL_MILLIS = 1_000;
@@ -47,6 +48,7 @@
     private final AdviceDispatcher adviceDispatcher;
     private final EventLog events;
     private final Map<String, Registration> registrations = new ConcurrentHashMap<>();
+    private final EndedBoxes endedBoxes = new EndedBoxes();
     private volatile long ownRevision = NOT_REGISTERED;
 
     /**
@@ -148,6 +150,7 @@
     private void add(String peer, Entry entry, long revision)
     {
         String address = entry.address();
+        endedBoxes.onRegistered(peer, address, revision, SteadyClock.nanos());
         if (peer.equals(box))
         {
             ownRevision = Math.min(ownRevision, revision);
@@ -238,6 +241,12 @@
                 && registration.entry().processorMillis() * OUTRANKING_RATIO >= ownEntry.processorMillis());
     }
 
+    @Override
+    public OptionalLong endNanos(String peer)
+    {
+        return endedBoxes.endNanos(peer);
+    }
+
     private boolean isAnyEstablished(String except, Predicate<Registration> condition)
     {
         long nowNanos = SteadyClock.nanos();
--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -60,6 +60,8 @@
     LAPSING_RECORDED(406, Level.INFO,
             "The record of workers whose leases are left to expire was written or adopted, or that failed; the text names the workers or the failure."),
     WORKER_ENTRY_REFUSED(407, Level.WARN, "An entry of the worker list was refused; the text says why."),
+    EARLIER_LEASES_LIMITED(408, Level.INFO,
+            "The previous owner's process has certainly ended, so the owner waits less for workers that it cannot reach; the text tells how long."),
     TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."),
     TASK_ENDED(501, Level.DEBUG, "A task ended with the result the text gives."),
     TASK_FORWARDED(502, Level.DEBUG, "A task was forwarded to a peer."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -59,32 +59,11 @@
     /** Delay before a longer-running box tries to acquire ownership. */
     private static final int LONGER_RUNNING_DELAY_MILLIS = 60;
 
-    /** Compares this box with the other boxes. */
-    public interface Ranking
-    {
-        /**
-         * Returns whether another box is clearly better suited to own the cell than this one.
-         *
-         * @param excludedBox id of a box to ignore, or empty
-         * @return whether this box is outranked
-         */
-        boolean isOutranked(String excludedBox);
-
-        /**
-         * Returns whether a comparable box was started later than this one. In a rolling restart, the box
-         * started last is expected to run longest.
-         *
-         * @param excludedBox id of a box to ignore, or empty
-         * @return whether a comparable box was started later
-         */
-        boolean isLongerRunning(String excludedBox);
-    }
-
     private final String box;
     private final CellPlatform platform;
     private final Supplier<CellConfig> config;
     private final OwnerMonitor monitor;
-    private final Ranking ranking;
+    private final OtherBoxes otherBoxes;
     private final AdviceDispatcher adviceDispatcher;
     private final WorkerScore score;
     private final StopCosts stopCosts;
@@ -96,6 +75,7 @@
     private volatile OwnerLease currentLease;
     private volatile Optional<OwnerTerm> currentTerm = Optional.empty();
     private volatile String owner = NO_BOX;
+    private ObservedTerm observedTerm = ObservedTerm.NONE;
     private volatile boolean resigned;
 
     /**
@@ -103,7 +83,7 @@
      * @param platform the platform
      * @param config supplier of the newest configuration
      * @param monitor detects an owner's failure before its lease ends
-     * @param ranking ranks this box among the others
+     * @param otherBoxes what this box knows of the others
      * @param adviceDispatcher dispatches calls to the advice service
      * @param score the placement policy
      * @param stopCosts what it costs to stop a run
@@ -112,14 +92,14 @@
      * @param events log for the events of terms
      */
     public OwnerElection(String box, CellPlatform platform, Supplier<CellConfig> config, OwnerMonitor monitor,
-            Ranking ranking, AdviceDispatcher adviceDispatcher, WorkerScore score, StopCosts stopCosts,
+            OtherBoxes otherBoxes, AdviceDispatcher adviceDispatcher, WorkerScore score, StopCosts stopCosts,
             Supervisor supervisor, int retentionSeconds, EventLog events)
     {
         this.box = box;
         this.platform = platform;
         this.config = config;
         this.monitor = monitor;
-        this.ranking = ranking;
+        this.otherBoxes = otherBoxes;
         this.adviceDispatcher = adviceDispatcher;
         this.score = score;
         this.stopCosts = stopCosts;
@@ -145,7 +125,7 @@
                 StoreListing listing = HedgedCall.read(() -> platform.store().list(JobKeys.OWNER));
                 if (!listing.values().isEmpty())
                 {
-                    owner = boxOf(listing.values().getFirst());
+                    observe(listing.values().getFirst());
                     replaceSuspectedOwner(awaitOwnerChange(listing));
                 }
                 else if (config.get().version() > 0)
@@ -164,6 +144,15 @@
         }
     }
 
+    private void observe(StoredValue ownerKey)
+    {
+        owner = boxOf(ownerKey);
+        if (observedTerm.fence() != ownerKey.modRevision())
+        {
+            observedTerm = new ObservedTerm(ownerKey.modRevision(), owner, SteadyClock.nanos());
+        }
+    }
+
     /**
      * Tries to acquire ownership while there is no owner. Lower-ranked boxes wait first; the condition
      * of the write decides between concurrent attempts.
@@ -185,11 +174,11 @@
     /** Returns the delay before this box tries to acquire ownership, in milliseconds. */
     private int electionDelayMillis(String excludedBox)
     {
-        if (ranking.isOutranked(excludedBox))
+        if (otherBoxes.isOutranked(excludedBox))
         {
             return OUTRANKED_DELAY_MILLIS;
         }
-        return ranking.isLongerRunning(excludedBox) ? LONGER_RUNNING_DELAY_MILLIS : 0;
+        return otherBoxes.isLongerRunning(excludedBox) ? LONGER_RUNNING_DELAY_MILLIS : 0;
     }
 
     /** Replaces a suspected owner. Has no effect if the owner's key has changed. */
@@ -349,8 +338,12 @@
         events.record(EventType.OWNER_BEGAN, box, "fence " + lease.fence());
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
-        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, events, termSupervisor, config,
-                adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
+        ObservedTerm previousTerm = observedTerm.fence() == lease.previousFence()
+                ? observedTerm
+                : ObservedTerm.NONE;
+        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, new EarlierLeases(previousTerm, otherBoxes),
+                events, termSupervisor, config, adviceDispatcher, score, stopCosts, stoppedWork,
+                copyStatistics, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
             termSupervisor.start("lease", new LeaseRenewal(platform.store(), lease, events));
@@ -358,7 +351,7 @@
             newTerm.begin();
             while (!lease.awaitEnd(CHECK_MILLIS))
             {
-                if (SteadyClock.nanos() - startNanos > MIN_TERM_NANOS && ranking.isOutranked(NO_BOX))
+                if (SteadyClock.nanos() - startNanos > MIN_TERM_NANOS && otherBoxes.isOutranked(NO_BOX))
                 {
                     releaseOwnership(lease, "a higher-ranked box is available");
                 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -46,18 +47,16 @@
     private static final int WORKER_POLL_MILLIS = 700;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Time that a run may take to end after its lease has expired. */
-    private static final long RUN_END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
-    /** Maximum time for which runs of an earlier owner may continue on an unreachable worker. */
-    private static final long MAX_UNKNOWN_LEASE_NANOS = OwnerLease.MAX_UNCONFIRMED_NANOS
-            + (long) (WorkerSession.LEASE_MILLIS * 1.02) * NANOS_PER_MILLI + RUN_END_MARGIN_NANOS;
+    static final long RUN_END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
 
     private final CellPlatform platform;
     private final OwnerLease lease;
+    private final EarlierLeases earlierLeases;
     private final EventLog events;
     private final Supervisor supervisor;
     private final Supplier<CellConfig> config;
     private final long retentionNanos;
-    private final CellState cellState = new CellState(SteadyClock::nanos, MAX_UNKNOWN_LEASE_NANOS);
+    private final CellState cellState = new CellState(SteadyClock::nanos, EarlierLeases.MAX_NANOS);
     private final Journal journal;
     private final AdviceCache adviceCache;
     private final Planner planner;
@@ -75,15 +74,17 @@
     private final WorkerSessions workerSessions;
     private final SummaryWriter summaryWriter;
 
-    OwnerTerm(CellPlatform platform, OwnerLease lease, EventLog events, Supervisor supervisor,
-            Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher, WorkerScore score,
-            StopCosts stopCosts, StoppedWork stoppedWork, CopyStatistics copyStatistics, long retentionNanos)
+    OwnerTerm(CellPlatform platform, OwnerLease lease, EarlierLeases earlierLeases, EventLog events,
+            Supervisor supervisor, Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher,
+            WorkerScore score, StopCosts stopCosts, StoppedWork stoppedWork, CopyStatistics copyStatistics,
+            long retentionNanos)
     {
         this.retentionNanos = retentionNanos;
         this.stoppedWork = stoppedWork;
         this.copyStatistics = copyStatistics;
         this.platform = platform;
         this.lease = lease;
+        this.earlierLeases = earlierLeases;
         this.events = events;
         this.supervisor = supervisor;
         this.config = config;
@@ -197,6 +198,7 @@
             {
                 cellState.configure(newest);
             }
+            limitEarlierLeases();
             expired = releaseExpiredWorkers();
             poisoned = cellState.failPoisonTasks();
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
@@ -251,6 +253,18 @@
         }
     }
 
+    /** Shortens the wait for unreachable workers once the previous owner has certainly ended. */
+    private void limitEarlierLeases()
+    {
+        OptionalLong endNanos = earlierLeases.endNanos();
+        if (endNanos.isPresent() && cellState.trackedWorkers().limitUnknownLeases(endNanos.getAsLong()))
+        {
+            long millisLeft = (endNanos.getAsLong() - SteadyClock.nanos()) / NANOS_PER_MILLI;
+            events.record(EventType.EARLIER_LEASES_LIMITED, earlierLeases.previousOwner(),
+                    "its process has ended; the leases that it left expire in " + millisLeft + " ms");
+        }
+    }
+
     private List<Effects> releaseExpiredWorkers()
     {
         List<Effects> allEffects = new ArrayList<>();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -53,18 +53,18 @@
     private static final QueueSpec PATIENT = new QueueSpec("patient", SERVICE, 2, 2, 250, 30, null);
 
     private final OwnerElection election;
-    private final OwnerElection.Ranking ranking;
+    private final OtherBoxes otherBoxes;
     private final WorkerScore score;
 
     /**
      * @param election the election, which knows whether another box owns the cell
-     * @param ranking ranks this box among the others
+     * @param otherBoxes what this box knows of the others
      * @param score rates workers for placement
      */
-    public OwnerWarmup(OwnerElection election, OwnerElection.Ranking ranking, WorkerScore score)
+    public OwnerWarmup(OwnerElection election, OtherBoxes otherBoxes, WorkerScore score)
     {
         this.election = election;
-        this.ranking = ranking;
+        this.otherBoxes = otherBoxes;
         this.score = score;
     }
 
@@ -78,7 +78,7 @@
         int completedRounds = 0;
         while (completedRounds < ROUNDS && !election.isOwner())
         {
-            if (election.owner().isEmpty() || ranking.isOutranked(NO_BOX))
+            if (election.owner().isEmpty() || otherBoxes.isOutranked(NO_BOX))
             {
                 Thread.sleep(RETRY_MILLIS);
                 continue;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
@@ -22,7 +22,7 @@
 {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Factor by which the clock of a worker may run slower than the local clock. */
-    private static final double MAX_CLOCK_DRIFT_FACTOR = 1.02;
+    static final double MAX_CLOCK_DRIFT_FACTOR = 1.02;
 
     /** Value of {@link #unresponsiveSinceNanos} while the worker responds. */
     private static final long RESPONSIVE = Long.MAX_VALUE;
@@ -193,6 +193,15 @@
         }
     }
 
+    /** Limits the end of a lease that this owner has not renewed. */
+    void limitUnknownLease(long endNanos)
+    {
+        if (deadlineMillis == 0)
+        {
+            leaseEndNanos = Math.min(leaseEndNanos, endNanos);
+        }
+    }
+
     /** Returns the monotonic time at which the worker has certainly ended all its runs. */
     long leaseEndNanos()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
@@ -22,7 +22,8 @@
 final class TrackedWorkers
 {
     private final LongSupplier nanoTime;
-    private final long defaultLeaseEndNanos;
+    /** Time at which leases granted by earlier owners have certainly expired. */
+    private long unknownLeaseEndNanos;
     private final Map<String, TrackedWorker> workers = new HashMap<>();
     /**
      * Incarnations whose leases are left to expire. An incarnation that is listed again remains in this
@@ -41,7 +42,7 @@
     TrackedWorkers(LongSupplier nanoTime, long unknownLeaseNanos)
     {
         this.nanoTime = nanoTime;
-        this.defaultLeaseEndNanos = nanoTime.getAsLong() + unknownLeaseNanos;
+        this.unknownLeaseEndNanos = nanoTime.getAsLong() + unknownLeaseNanos;
     }
 
     Collection<TrackedWorker> all()
@@ -62,7 +63,8 @@
 
     private TrackedWorker create(String id)
     {
-        long leaseEnd = recordedLeaseEnds.getOrDefault(id, defaultLeaseEndNanos);
+        long leaseEnd = Math.min(recordedLeaseEnds.getOrDefault(id, unknownLeaseEndNanos),
+                unknownLeaseEndNanos);
         TrackedWorker worker = new TrackedWorker(id, leaseEnd, nanoTime.getAsLong());
         worker.setLeaseExpiring(expiringIds.contains(id));
         return worker;
@@ -137,6 +139,23 @@
         expiringIds.addAll(leaseEnds.keySet());
     }
 
+    /**
+     * Limits the leases that earlier owners granted.
+     *
+     * @param endNanos monotonic time at which all of them have certainly expired
+     * @return whether this is earlier than known before
+     */
+    boolean limitUnknownLeases(long endNanos)
+    {
+        if (endNanos >= unknownLeaseEndNanos)
+        {
+            return false;
+        }
+        unknownLeaseEndNanos = endNanos;
+        workers.values().forEach(worker -> worker.limitUnknownLease(endNanos));
+        return true;
+    }
+
     /** Stops renewing the lease of a worker. */
     void stopLeaseRenewal(TrackedWorker worker)
     {
--- /dev/null
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOtherBoxes.java
@@ -0,0 +1,56 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.gaugehollow.time.SteadyClock;
+
+/**
+ * What the test tells of the other boxes; by default none is before this one, and none has ended.
+ */
+final class FakeOtherBoxes implements OtherBoxes
+{
+    private final Map<String, Long> ends = new ConcurrentHashMap<>();
+    private volatile boolean outranked;
+    private volatile boolean longerRunning;
+
+    void setOutranked(boolean value)
+    {
+        outranked = value;
+    }
+
+    void setLongerRunning(boolean value)
+    {
+        longerRunning = value;
+    }
+
+    /** Lets the process of a box have ended now. */
+    void end(String box)
+    {
+        ends.put(box, SteadyClock.nanos());
+    }
+
+    @Override
+    public boolean isOutranked(String excludedBox)
+    {
+        return outranked;
+    }
+
+    @Override
+    public boolean isLongerRunning(String excludedBox)
+    {
+        return longerRunning;
+    }
+
+    @Override
+    public OptionalLong endNanos(String box)
+    {
+        Long nanos = ends.get(box);
+        return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
+    }
+}
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
@@ -52,6 +52,12 @@
         unreachable.add(box);
     }
 
+    /** Lets a box answer no probe any more. */
+    void setDead(String box)
+    {
+        results.remove(box);
+    }
+
     void setOwner(String box, long unconfirmedMillis)
     {
         results.put(box, new Result(true, true, unconfirmedMillis, false));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
@@ -122,28 +122,12 @@
         OwnerMonitor monitor = new OwnerMonitor(new FakeOwnerProbe(), () -> true, owner -> false,
                 SteadyClock::nanos);
         CellConfig config = new CellConfig(1, List.of());
-        election = new OwnerElection("box", platform, () -> config, monitor, new FirstRanking(),
+        election = new OwnerElection("box", platform, () -> config, monitor, new FakeOtherBoxes(),
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
                 StopCosts.DEFAULT, supervisor.child("owner"), 60, events);
         supervisor.start("election", election);
     }
 
-    /** Ranking in which no box is before this one. */
-    private static final class FirstRanking implements OwnerElection.Ranking
-    {
-        @Override
-        public boolean isOutranked(String excludedBox)
-        {
-            return false;
-        }
-
-        @Override
-        public boolean isLongerRunning(String excludedBox)
-        {
-            return false;
-        }
-    }
-
     private boolean becomesOwnerWithin(long millis) throws InterruptedException
     {
         return TestJobs.waitUntil(millis, () -> election.isOwner());
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -33,26 +33,9 @@
     private final FakePlatform platform = new FakePlatform(store);
     private final FakeOwnerProbe probe = new FakeOwnerProbe(OTHER, "bole-3", "bole-4");
     private final Supervisor supervisor = new Supervisor("test", events);
-    private volatile boolean outranked;
-    private volatile boolean longerRunning;
+    private final FakeOtherBoxes otherBoxes = new FakeOtherBoxes();
     private OwnerElection election;
 
-    /** Ranking set by the test. */
-    private final class TestRanking implements OwnerElection.Ranking
-    {
-        @Override
-        public boolean isOutranked(String excludedBox)
-        {
-            return outranked;
-        }
-
-        @Override
-        public boolean isLongerRunning(String excludedBox)
-        {
-            return longerRunning;
-        }
-    }
-
     @AfterEach
     void stop()
     {
@@ -73,7 +56,7 @@
         OwnerMonitor monitor = new OwnerMonitor(probe, () -> true, owner -> false,
                 () -> SteadyClock.nanos() * CLOCK_SPEED);
         CellConfig config = new CellConfig(1, List.of());
-        election = new OwnerElection("bole-2", platform, () -> config, monitor, new TestRanking(),
+        election = new OwnerElection("bole-2", platform, () -> config, monitor, otherBoxes,
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
                 StopCosts.DEFAULT, supervisor.child("owner"), 60, events);
         supervisor.start("election", election);
@@ -123,7 +106,7 @@
     @Test
     void outrankedBoxLetsAnotherBoxAcquireFirst() throws InterruptedException
     {
-        outranked = true;
+        otherBoxes.setOutranked(true);
         startElection();
         assertThat(TestJobs.waitUntil(200, () -> election.isOwner())).isFalse();
         acquireForOther();
@@ -134,7 +117,7 @@
     @Test
     void longerRunningBoxDelaysItsAttempt() throws InterruptedException
     {
-        longerRunning = true;
+        otherBoxes.setLongerRunning(true);
         startElection();
         assertThat(TestJobs.waitUntil(40, () -> election.isOwner())).isFalse();
         assertThat(TestJobs.waitUntil(3_000, () -> election.isOwner())).isTrue();
@@ -143,7 +126,7 @@
     @Test
     void outrankedBoxAcquiresIfNoOtherBoxDoes() throws InterruptedException
     {
-        outranked = true;
+        otherBoxes.setOutranked(true);
         startElection();
         assertThat(TestJobs.waitUntil(3_000, () -> election.isOwner())).isTrue();
     }
@@ -184,7 +167,7 @@
     {
         startElection();
         assertThat(TestJobs.waitUntil(3_000, () -> election.isOwner())).isTrue();
-        outranked = true;
+        otherBoxes.setOutranked(true);
         assertThat(TestJobs.waitUntil(10_000, () -> !election.isOwner())).isTrue();
         assertThat(platform.fakeStore().get(JobKeys.OWNER)).isEmpty();
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -28,7 +28,7 @@
     private static final long CONFIRM_MILLIS = 300;
     private static final String CONFIRMATIONS = "confirmations";
     /** Configuration without customers. */
-    private static final CellConfig CONFIG = new CellConfig(1, List.of(), List.of("service"), Customers.NONE);
+    static final CellConfig CONFIG = new CellConfig(1, List.of(), List.of("service"), Customers.NONE);
 
     private final Supervisor supervisor;
     private final OwnerLease lease;
@@ -66,7 +66,8 @@
                 .orElseThrow();
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence, SteadyClock.nanos());
-        term = new OwnerTerm(platform, lease, events, supervisor.child("term"), config,
+        EarlierLeases earlierLeases = new EarlierLeases(ObservedTerm.NONE, new FakeOtherBoxes());
+        term = new OwnerTerm(platform, lease, earlierLeases, events, supervisor.child("term"), config,
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
                 StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), new CopyStatistics(), retentionNanos);
         startConfirming();
