--- a/gaugehollow/src/main/java/org/gaugehollow/box/EndedBoxes.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/EndedBoxes.java
@@ -17,10 +17,10 @@
     /** Number of the newest registrations that are remembered. */
     private static final int MAX_BOXES = 1_000;
 
-    private final Map<String, Process> processes = new LinkedHashMap<>()
+    private final Map<String, BoxProcess> processes = new LinkedHashMap<>()
     {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Process> eldest)
+        protected boolean removeEldestEntry(Map.Entry<String, BoxProcess> eldest)
         {
             return size() > MAX_BOXES;
         }
@@ -33,16 +33,16 @@
      * @param revision revision of its registration, in the order of the processes at an address
      * @param endNanos monotonic time by which it had ended, empty if that isn't known
      */
-    private record Process(String address, long revision, OptionalLong endNanos)
+    private record BoxProcess(String address, long revision, OptionalLong endNanos)
     {
-        boolean isReplacedBy(Process other)
+        boolean isReplacedBy(BoxProcess other)
         {
             return endNanos.isEmpty() && address.equals(other.address) && revision < other.revision;
         }
 
-        Process endedAt(long nanos)
+        BoxProcess endedAt(long nanos)
         {
-            return new Process(address, revision, OptionalLong.of(nanos));
+            return new BoxProcess(address, revision, OptionalLong.of(nanos));
         }
     }
 
@@ -56,7 +56,7 @@
      */
     synchronized void onRegistered(String box, String address, long revision, long nowNanos)
     {
-        Process registered = new Process(address, revision, OptionalLong.empty());
+        BoxProcess registered = new BoxProcess(address, revision, OptionalLong.empty());
         boolean isNewest = processes.values().stream().noneMatch(registered::isReplacedBy);
         processes.replaceAll((id, process) -> !id.equals(box) && process.isReplacedBy(registered)
                 ? process.endedAt(nowNanos)
@@ -67,7 +67,7 @@
     /** Returns the monotonic time by which a box had certainly ended, or empty if that isn't known. */
     synchronized OptionalLong endNanos(String box)
     {
-        Process process = processes.get(box);
+        BoxProcess process = processes.get(box);
         return process == null ? OptionalLong.empty() : process.endNanos();
     }
 }
