OwnerValue: one piece writes the values that only the owner writes

SummaryWriter had taken over, line by line, how ExpiringLeases writes its record: the owner's key and the revision that is replaced as conditions, the hedged write, the read of the revision after a refusal. Behaviour is unchanged, the lines of the log too. SummaryWriterTest (4), ExpiringLeasesTest (7), EndedOwnerTest and ArchitectureTest pass, with formatter and linter.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Semaphore;
@@ -19,9 +18,7 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
-import org.gaugehollow.platform.HedgedCall;
 import org.gaugehollow.platform.PlatformStore;
-import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
@@ -53,7 +50,7 @@
     private static final long PERIOD_MILLIS = 200;
     private static final long RETRY_MILLIS = 60;
 
-    private final PlatformStore store;
+    private final OwnerValue stored;
     private final CellState cellState;
     private final OwnerLease owner;
     private final EventLog events;
@@ -62,7 +59,6 @@
     private final Map<String, Long> leaseEnds = new HashMap<>();
     /** Workers that the stored record may contain, including writes with unknown outcome. */
     private final Set<String> possiblyRecorded = new HashSet<>();
-    private long revision;
     /** Whether the store is known to hold the newest record of this term, or needs none. */
     private boolean synced = true;
 
@@ -85,7 +81,7 @@
      */
     ExpiringLeases(PlatformStore store, CellState cellState, OwnerLease owner, EventLog events)
     {
-        this.store = store;
+        this.stored = new OwnerValue(store, JobKeys.EXPIRING_LEASES, owner);
         this.cellState = cellState;
         this.owner = owner;
         this.events = events;
@@ -98,7 +94,7 @@
         {
             try
             {
-                HedgedCall.read(() -> store.get(JobKeys.EXPIRING_LEASES)).ifPresent(this::adopt);
+                stored.read().ifPresent(this::adopt);
                 return;
             }
             catch (GaugehollowException e)
@@ -111,7 +107,6 @@
 
     private void adopt(StoredValue value)
     {
-        revision = value.modRevision();
         LeaseRecord leaseRecord = parse(value);
         boolean isFromPreviousTerm = leaseRecord.fence() != OwnerLease.UNKNOWN_FENCE
                 && leaseRecord.fence() == owner.previousFence();
@@ -202,18 +197,15 @@
     private void write() throws InterruptedException
     {
         Set<String> ids = Set.copyOf(leaseEnds.keySet());
-        StoreTransaction transaction = createTransaction();
+        LeaseRecord leaseRecord = createRecord();
         possiblyRecorded.addAll(ids);
         synced = false;
         try
         {
-            Optional<Long> writtenRevision = HedgedCall.write(() -> store.commit(transaction));
-            if (writtenRevision.isEmpty())
+            if (!stored.write(Json.write(leaseRecord), OwnerValue.NO_LEASE))
             {
-                readRevision();
                 return;
             }
-            revision = writtenRevision.get();
             synced = true;
         }
         catch (GaugehollowException e)
@@ -225,24 +217,13 @@
         resumeRenewals(ids);
     }
 
-    private StoreTransaction createTransaction()
+    private LeaseRecord createRecord()
     {
         long now = SteadyClock.nanos();
         Map<String, Long> millisLeft = new TreeMap<>();
         leaseEnds.forEach(
                 (id, end) -> millisLeft.put(id, Math.max(0, TimeUnit.NANOSECONDS.toMillis(end - now) + 1)));
-        return new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
-                .require(JobKeys.EXPIRING_LEASES, revision)
-                .put(JobKeys.EXPIRING_LEASES, Json.write(new LeaseRecord(owner.fence(), millisLeft)));
-    }
-
-    /**
-     * Reads the current revision after another write took effect, such as a late one or a repeated one.
-     */
-    private void readRevision() throws InterruptedException
-    {
-        revision = HedgedCall.read(() -> store.get(JobKeys.EXPIRING_LEASES)).map(StoredValue::modRevision)
-                .orElse(0L);
+        return new LeaseRecord(owner.fence(), millisLeft);
     }
 
     /** Resumes lease renewal for the workers that were removed from the record. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/SummaryWriter.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/SummaryWriter.java
@@ -5,35 +5,28 @@
 package org.gaugehollow.schedule;
 
 import java.util.Map;
-import java.util.Optional;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
-import org.gaugehollow.platform.HedgedCall;
 import org.gaugehollow.platform.PlatformStore;
-import org.gaugehollow.platform.StoreTransaction;
-import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.SupervisedTask;
 
 /**
  * Writes the number of jobs per queue that have not started, whenever it changes. The value is tied
- * to the owner's lease, so that it is removed when its owner is gone. Each write requires the
- * revision that it replaces, so that a write that is done late doesn't replace newer counts.
+ * to the owner's lease, so that it is removed when its owner is gone.
  */
 final class SummaryWriter implements SupervisedTask
 {
     private static final long PERIOD_MILLIS = 500;
 
-    private final PlatformStore store;
+    private final OwnerValue stored;
     private final CellState cellState;
     private final OwnerLease owner;
     private final EventLog events;
     private volatile Map<String, Integer> counts = Map.of();
-    /** Revision of the stored counts as far as this owner knows, 0 if there are none. */
-    private long revision;
 
     /**
      * @param store the platform's store
@@ -43,7 +36,7 @@
      */
     SummaryWriter(PlatformStore store, CellState cellState, OwnerLease owner, EventLog events)
     {
-        this.store = store;
+        this.stored = new OwnerValue(store, JobKeys.SUMMARY, owner);
         this.cellState = cellState;
         this.owner = owner;
         this.events = events;
@@ -78,21 +71,15 @@
     /** Writes the counts and returns whether they are certainly stored. */
     private boolean write(Map<String, Integer> newest) throws InterruptedException
     {
-        StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
-                .require(JobKeys.SUMMARY, revision)
-                .put(JobKeys.SUMMARY, Json.write(newest), owner.storeLease());
         try
         {
-            Optional<Long> written = HedgedCall.write(() -> store.commit(transaction));
-            if (written.isPresent())
+            long expected = stored.revision();
+            if (stored.write(Json.write(newest), owner.storeLease()))
             {
-                revision = written.get();
                 return true;
             }
-            long expected = revision;
-            revision = readRevision();
             events.record(EventType.COUNTS_DELAYED, owner.box(),
-                    newest + " not written: expected revision " + expected + ", found " + revision);
+                    newest + " not written: expected revision " + expected + ", found " + stored.revision());
         }
         catch (GaugehollowException e)
         {
@@ -100,9 +87,4 @@
         }
         return false;
     }
-
-    private long readRevision() throws InterruptedException
-    {
-        return HedgedCall.read(() -> store.get(JobKeys.SUMMARY)).map(StoredValue::modRevision).orElse(0L);
-    }
 }
