TermKeepAlive: one class renews the lease of a term and confirms it

LeaseRenewal and OwnershipCheck had the same fields, loop and handling of failures, 25 lines of each. Their two calls stand in one class now, with the loop's call and its failure in one method. Periods, conditions, the lines of the log and the names of threads are unchanged.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -346,8 +346,9 @@
                 copyStatistics, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
-            termSupervisor.start("lease", new LeaseRenewal(platform.store(), lease, events));
-            termSupervisor.start("ownership", new OwnershipCheck(platform.store(), lease, events));
+            TermKeepAlive keepAlive = new TermKeepAlive(platform.store(), lease, events);
+            termSupervisor.start("lease", keepAlive::renewPeriodically);
+            termSupervisor.start("ownership", keepAlive::confirmPeriodically);
             newTerm.begin();
             while (!lease.awaitEnd(CHECK_MILLIS))
             {
