OwnerProbe: the figure of a probe is named for what it is

Since a read of the owner's key confirms a term, a probe no longer tells the time without a confirmation but the time since the store last answered a renewal. Names and comments of the probe and of the monitor's limit still said the former. The wire, the limit and the log are unchanged.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
@@ -34,10 +34,10 @@
     /** Time at the start of a term in which the owner isn't suspected, while it restores its state. */
     private static final long GRACE_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(3);
     /**
-     * Time without confirmation by the store after which an owner is suspected; it renews several times
-     * as often.
+     * Time without an answer of the store to a renewal after which an owner is suspected; it renews
+     * several times as often.
      */
-    private static final long MAX_UNCONFIRMED_MILLIS = 750;
+    private static final long MAX_UNRENEWED_MILLIS = 750;
     /** Number of consecutive probes denying ownership after which the owner counts as unresponsive. */
     private static final int DENIAL_THRESHOLD = 3;
 
@@ -130,10 +130,10 @@
     /** Returns the reason to replace the owner, or null. */
     private String suspicionReason(String owner, OwnerProbe.Result result) throws InterruptedException
     {
-        boolean isUnconfirmed = result.owner() && result.unconfirmedMillis() > MAX_UNCONFIRMED_MILLIS;
-        if (isUnconfirmed && isStoreStable.getAsBoolean())
+        boolean isUnrenewed = result.owner() && result.unrenewedMillis() > MAX_UNRENEWED_MILLIS;
+        if (isUnrenewed && isStoreStable.getAsBoolean())
         {
-            return "not confirmed by the store for " + result.unconfirmedMillis() + " ms";
+            return "not confirmed by the store for " + result.unrenewedMillis() + " ms";
         }
         boolean isDead = isOwnerUnresponsive(owner) && !isOutranked.test(owner)
                 && isUnresponsiveToMajority(owner);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerProbe.java
@@ -14,10 +14,10 @@
      *
      * @param reached whether the queried box answered
      * @param owner whether the queried box owns the cell
-     * @param unconfirmedMillis time since the store confirmed its term, in milliseconds
+     * @param unrenewedMillis time since the store last answered a renewal of its term, in milliseconds
      * @param ownerUnresponsive whether the owner doesn't answer the queried box
      */
-    record Result(boolean reached, boolean owner, long unconfirmedMillis, boolean ownerUnresponsive)
+    record Result(boolean reached, boolean owner, long unrenewedMillis, boolean ownerUnresponsive)
     {
         /** Result for a box that did not answer. */
         public static final Result UNREACHED = new Result(false, false, 0, false);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOwnerProbe.java
@@ -58,9 +58,9 @@
         results.remove(box);
     }
 
-    void setOwner(String box, long unconfirmedMillis)
+    void setOwner(String box, long unrenewedMillis)
     {
-        results.put(box, new Result(true, true, unconfirmedMillis, false));
+        results.put(box, new Result(true, true, unrenewedMillis, false));
     }
 
     void setOwnerUnresponsive(String box, boolean unresponsive)
