OwnerMonitor: when a term was first seen is kept once

The monitor remembered it for the grace period of a new owner, and the election had begun to remember it again for the leases of earlier owners. The monitor keeps the observed term now, and the election asks it. If another term was observed meanwhile, nothing is known of the previous one, as before.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -75,7 +75,6 @@
     private volatile OwnerLease currentLease;
     private volatile Optional<OwnerTerm> currentTerm = Optional.empty();
     private volatile String owner = NO_BOX;
-    private ObservedTerm observedTerm = ObservedTerm.NONE;
     private volatile boolean resigned;
 
     /**
@@ -125,7 +124,9 @@
                 StoreListing listing = HedgedCall.read(() -> platform.store().list(JobKeys.OWNER));
                 if (!listing.values().isEmpty())
                 {
-                    observe(listing.values().getFirst());
+                    StoredValue ownerKey = listing.values().getFirst();
+                    owner = boxOf(ownerKey);
+                    monitor.observe(owner, ownerKey.modRevision());
                     replaceSuspectedOwner(awaitOwnerChange(listing));
                 }
                 else if (config.get().version() > 0)
@@ -144,15 +145,6 @@
         }
     }
 
-    private void observe(StoredValue ownerKey)
-    {
-        owner = boxOf(ownerKey);
-        if (observedTerm.fence() != ownerKey.modRevision())
-        {
-            observedTerm = new ObservedTerm(ownerKey.modRevision(), owner, SteadyClock.nanos());
-        }
-    }
-
     /**
      * Tries to acquire ownership while there is no owner. Lower-ranked boxes wait first; the condition
      * of the write decides between concurrent attempts.
@@ -338,12 +330,10 @@
         events.record(EventType.OWNER_BEGAN, box, "fence " + lease.fence());
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
-        ObservedTerm previousTerm = observedTerm.fence() == lease.previousFence()
-                ? observedTerm
-                : ObservedTerm.NONE;
-        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, new EarlierLeases(previousTerm, otherBoxes),
-                events, termSupervisor, config, adviceDispatcher, score, stopCosts, stoppedWork,
-                copyStatistics, retentionNanos))
+        EarlierLeases earlierLeases = new EarlierLeases(monitor.observedTerm(lease.previousFence()),
+                otherBoxes);
+        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, earlierLeases, events, termSupervisor, config,
+                adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
             TermKeepAlive keepAlive = new TermKeepAlive(platform.store(), lease, events);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
@@ -46,8 +46,7 @@
     private final Predicate<String> isOutranked;
     private final LongSupplier nanoTime;
     private volatile String unresponsiveOwner = "";
-    private long graceTerm;
-    private long graceStartNanos;
+    private ObservedTerm observedTerm = ObservedTerm.NONE;
 
     /**
      * @param probe queries other boxes
@@ -76,6 +75,33 @@
         return unresponsiveOwner.equals(owner);
     }
 
+    /**
+     * Records that a box owns the cell, unless it is known.
+     *
+     * @param owner id of the owner
+     * @param fence fencing token of its term
+     * @return the term, with the time at which it was first observed
+     */
+    synchronized ObservedTerm observe(String owner, long fence)
+    {
+        if (observedTerm.fence() != fence)
+        {
+            observedTerm = new ObservedTerm(fence, owner, nanoTime.getAsLong());
+        }
+        return observedTerm;
+    }
+
+    /**
+     * Returns what was observed of a term.
+     *
+     * @param fence fencing token of the term
+     * @return the term, or {@link ObservedTerm#NONE} if it isn't the newest one observed
+     */
+    synchronized ObservedTerm observedTerm(long fence)
+    {
+        return observedTerm.fence() == fence ? observedTerm : ObservedTerm.NONE;
+    }
+
     /**
      * Waits until the owner should be replaced by another box.
      *
@@ -86,7 +112,7 @@
      */
     String awaitSuspicion(String owner, long term) throws InterruptedException
     {
-        long startNanos = graceStartNanos(term);
+        long startNanos = observe(owner, term).firstSeenNanos();
         int deniedProbes = 0;
         try
         {
@@ -116,17 +142,6 @@
         }
     }
 
-    /** Returns the time at which this box first observed the term. */
-    private synchronized long graceStartNanos(long term)
-    {
-        if (graceTerm != term)
-        {
-            graceTerm = term;
-            graceStartNanos = nanoTime.getAsLong();
-        }
-        return graceStartNanos;
-    }
-
     /** Returns the reason to replace the owner, or null. */
     private String suspicionReason(String owner, OwnerProbe.Result result) throws InterruptedException
     {
