--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -8,7 +8,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
@@ -20,8 +19,8 @@
 import org.gaugehollow.peer.PeerLink;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.schedule.AdviceDispatcher;
+import org.gaugehollow.schedule.TestJobs;
 import org.gaugehollow.supervise.Supervisor;
-import org.gaugehollow.time.SteadyClock;
 import org.gaugehollow.worker.Advice;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -29,6 +28,7 @@
 /** Guards against losing or confusing peers when boxes restart under the same address. */
 class BoxRegistryTest
 {
+    private static final long TIMEOUT_MILLIS = 5_000;
     /** Time after which a held write fails with an unknown outcome. */
     private static final int HELD_MILLIS = 100;
     /** Id of the first lease that the store grants. */
@@ -99,7 +99,7 @@
         try (Supervisor supervisor = new Supervisor("test", events))
         {
             supervisor.start("registry", late);
-            awaitRegistration(store, "late");
+            assertThat(becomesRegistered(store, "late")).isTrue();
             store.deliverHeldWrites();
             store.revokeLease(FIRST_LEASE);
             assertThat(store.get(JobKeys.BOXES + "late")).isPresent();
@@ -119,29 +119,22 @@
         {
             supervisor.start("registry",
                     new BoxRegistry("a~1", entry, store, directory, adviceDispatcher, events));
-            while (!store.hasHeldWrites())
-            {
-                Thread.sleep(10);
-            }
+            assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, store::hasHeldWrites)).isTrue();
         }
         try (Supervisor supervisor = new Supervisor("successor", events))
         {
             supervisor.start("registry",
                     new BoxRegistry("a~2", entry, store, directory, adviceDispatcher, events));
-            awaitRegistration(store, "a~2");
+            assertThat(becomesRegistered(store, "a~2")).isTrue();
             store.deliverHeldWrites();
             assertThat(store.get(JobKeys.BOXES + "a~2")).isPresent();
             assertThat(store.get(JobKeys.BOXES + "a~1")).isEmpty();
         }
     }
 
-    private static void awaitRegistration(FakeStore store, String box) throws InterruptedException
+    private static boolean becomesRegistered(FakeStore store, String box) throws InterruptedException
     {
-        long endNanos = SteadyClock.nanos() + TimeUnit.SECONDS.toNanos(5);
-        while (store.get(JobKeys.BOXES + box).isEmpty() && SteadyClock.nanos() < endNanos)
-        {
-            Thread.sleep(10);
-        }
+        return TestJobs.waitUntil(TIMEOUT_MILLIS, () -> store.get(JobKeys.BOXES + box).isPresent());
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EndedOwnerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EndedOwnerTest.java
@@ -8,10 +8,8 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
-import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
-import org.gaugehollow.urgency.StopCosts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Execution;
@@ -46,10 +44,7 @@
     private void startElection()
     {
         OwnerMonitor monitor = new OwnerMonitor(probe, () -> true, owner -> false, SteadyClock::nanos);
-        supervisor.start("election",
-                new OwnerElection("bole-2", platform, () -> TestTerm.CONFIG, monitor, otherBoxes,
-                        new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                        StopCosts.DEFAULT, supervisor.child("owner"), 60, events));
+        TestElections.start("bole-2", platform, TestTerm.CONFIG, monitor, otherBoxes, supervisor, events);
     }
 
     private void killOwner()
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/LateConfirmationTest.java
@@ -14,13 +14,11 @@
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobKeys;
-import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.FakeStore;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
-import org.gaugehollow.urgency.StopCosts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Execution;
@@ -121,11 +119,8 @@
     {
         OwnerMonitor monitor = new OwnerMonitor(new FakeOwnerProbe(), () -> true, owner -> false,
                 SteadyClock::nanos);
-        CellConfig config = new CellConfig(1, List.of());
-        election = new OwnerElection("box", platform, () -> config, monitor, new FakeOtherBoxes(),
-                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                StopCosts.DEFAULT, supervisor.child("owner"), 60, events);
-        supervisor.start("election", election);
+        election = TestElections.start("box", platform, new CellConfig(1, List.of()), monitor,
+                new FakeOtherBoxes(), supervisor, events);
     }
 
     private boolean becomesOwnerWithin(long millis) throws InterruptedException
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/OwnerElectionTest.java
@@ -13,12 +13,10 @@
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobKeys;
-import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
-import org.gaugehollow.urgency.StopCosts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -55,11 +53,8 @@
     {
         OwnerMonitor monitor = new OwnerMonitor(probe, () -> true, owner -> false,
                 () -> SteadyClock.nanos() * CLOCK_SPEED);
-        CellConfig config = new CellConfig(1, List.of());
-        election = new OwnerElection("bole-2", platform, () -> config, monitor, otherBoxes,
-                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                StopCosts.DEFAULT, supervisor.child("owner"), 60, events);
-        supervisor.start("election", election);
+        election = TestElections.start("bole-2", platform, new CellConfig(1, List.of()), monitor, otherBoxes,
+                supervisor, events);
     }
 
     private StoredValue ownerKey()
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestJobs.java
@@ -25,7 +25,7 @@
 import org.gaugehollow.worker.WorkerIncarnation;
 
 /** Creates jobs, workers and replies for the tests of this package. */
-final class TestJobs
+public final class TestJobs
 {
     static final String ID = "00000000000000aa";
     static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
@@ -41,7 +41,7 @@
     }
 
     /** Waits until a condition holds; returns false if it does not hold within the given time. */
-    static boolean waitUntil(long millis, BooleanSupplier condition) throws InterruptedException
+    public static boolean waitUntil(long millis, BooleanSupplier condition) throws InterruptedException
     {
         long end = SteadyClock.nanos() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!condition.getAsBoolean() && SteadyClock.nanos() < end)
