E409: a new owner tells what it knows of the terms before it

Without it the log of a new owner doesn't tell a lack of knowledge of the previous term from a lack of proof that its process has ended (hypotheses 1 and 2 of docs/incidents/power-loss-beside-lost-workers.md).

--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -62,6 +62,8 @@
     WORKER_ENTRY_REFUSED(407, Level.WARN, "An entry of the worker list was refused; the text says why."),
     EARLIER_LEASES_LIMITED(408, Level.INFO,
             "The previous owner's process has certainly ended, so the owner waits less for workers that it cannot reach; the text tells how long."),
+    EARLIER_TERM(409, Level.INFO,
+            "An owner began; the text gives what it knows of the previous term and how long leases of earlier terms may last."),
     TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."),
     TASK_ENDED(501, Level.DEBUG, "A task ended with the result the text gives."),
     TASK_FORWARDED(502, Level.DEBUG, "A task was forwarded to a peer."),
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -7,6 +7,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.time.SteadyClock;
+
 /**
  * Tells how long the leases may last that earlier owners granted to workers which the present owner
  * can't reach. An owner that can't be reached may go on renewing them until it lacks confirmation
@@ -14,6 +16,7 @@
  */
 final class EarlierLeases
 {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Time after which a lease has certainly expired on the slowest clock of a worker. */
     private static final long LEASE_NANOS = TimeUnit.MILLISECONDS
             .toNanos((long) (WorkerSession.LEASE_MILLIS * TrackedWorker.MAX_CLOCK_DRIFT_FACTOR));
@@ -64,4 +67,16 @@
                         previousTerm.firstSeenNanos() + MAX_NANOS))
                 : OptionalLong.empty();
     }
+
+    /** Returns what is known of earlier terms, for the log. */
+    String describe()
+    {
+        String known = previousTerm.fence() == OwnerLease.UNKNOWN_FENCE
+                ? "the previous term is not known"
+                : "previous term " + previousTerm.fence() + " of " + previousTerm.box() + ", first seen "
+                        + (SteadyClock.nanos() - previousTerm.firstSeenNanos()) / NANOS_PER_MILLI
+                        + " ms ago";
+        return known + "; leases of earlier terms may last " + MAX_NANOS / NANOS_PER_MILLI
+                + " ms unless its end is proved";
+    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -332,6 +332,7 @@
         owner = box;
         EarlierLeases earlierLeases = new EarlierLeases(monitor.observedTerm(lease.previousFence()),
                 otherBoxes);
+        events.record(EventType.EARLIER_TERM, box, earlierLeases.describe());
         try (OwnerTerm newTerm = new OwnerTerm(platform, lease, earlierLeases, events, termSupervisor, config,
                 adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
         {
