--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -27,6 +27,7 @@
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.schedule.AdviceDispatcher;
 import org.gaugehollow.schedule.OtherBoxes;
+import org.gaugehollow.schedule.PreviousTerm;
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
 
@@ -48,7 +49,7 @@
     private final AdviceDispatcher adviceDispatcher;
     private final EventLog events;
     private final Map<String, Registration> registrations = new ConcurrentHashMap<>();
-    private final EndedBoxes endedBoxes = new EndedBoxes();
+    private final PeerTermProbe termProbe;
     /** Revision of the key of this box's address as last read; 0 if there was none. */
     private long addressRevision;
     private volatile long ownRevision = NOT_REGISTERED;
@@ -79,12 +80,13 @@
     }
 
     BoxRegistry(String box, Entry ownEntry, PlatformStore store, PeerDirectory directory,
-            AdviceDispatcher adviceDispatcher, EventLog events)
+            PeerTermProbe termProbe, AdviceDispatcher adviceDispatcher, EventLog events)
     {
         this.box = box;
         this.ownEntry = ownEntry;
         this.store = store;
         this.directory = directory;
+        this.termProbe = termProbe;
         this.adviceDispatcher = adviceDispatcher;
         this.events = events;
     }
@@ -157,7 +159,6 @@
     private void add(String peer, Entry entry, long revision)
     {
         String address = entry.address();
-        endedBoxes.onRegistered(peer, address, revision, SteadyClock.nanos());
         if (peer.equals(box))
         {
             ownRevision = Math.min(ownRevision, revision);
@@ -249,9 +250,15 @@
     }
 
     @Override
-    public OptionalLong endNanos(String peer)
+    public String ownAddress()
     {
-        return endedBoxes.endNanos(peer);
+        return ownEntry.address();
+    }
+
+    @Override
+    public OptionalLong termEndNanos(PreviousTerm term) throws InterruptedException
+    {
+        return termProbe.endNanos(term);
     }
 
     private boolean isAnyEstablished(String except, Predicate<Registration> condition)
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -74,6 +74,7 @@
     private final OwnerElection election;
     private final AdmissionControl admission;
     private final PeerDirectory peerDirectory;
+    private final PeerTermProbe termProbe;
     private final PeerServer peerServer;
     private final HttpServer callerServer;
     private final HttpServer readinessServer;
@@ -109,11 +110,12 @@
      * Starts a box.
      *
      * @param settings validated settings
+     * @param startNanos time of the {@link SteadyClock} at which the process had started
      * @param openPlatform opens the platform
      * @param serviceFactory creates the service for callers
      */
-    public JobBox(JobBoxSettings settings, Function<PlatformContext, CellPlatform> openPlatform,
-            CallerServiceFactory serviceFactory)
+    public JobBox(JobBoxSettings settings, long startNanos,
+            Function<PlatformContext, CellPlatform> openPlatform, CallerServiceFactory serviceFactory)
     {
         this.settings = settings;
         this.id = settings.box() + '~' + UUID.randomUUID().toString().substring(0, ID_SUFFIX_LENGTH);
@@ -128,9 +130,10 @@
         this.configProbe = new ConfigProbe(store, platform.configKey(), config);
         this.peerDirectory = new PeerDirectory(loops, events, metrics);
         AdviceDispatcher adviceDispatcher = new AdviceDispatcher(platform.advice(), events);
+        this.termProbe = new PeerTermProbe(id, settings.peerAddress(), startNanos, peerDirectory);
         this.registry = new BoxRegistry(id,
                 new BoxRegistry.Entry(settings.peerAddress(), settings.processorMillis()), store,
-                peerDirectory, adviceDispatcher, events);
+                peerDirectory, termProbe, adviceDispatcher, events);
         this.ownerMonitor = new OwnerMonitor(new PeerOwnerProbe(registry, this::onBacklog), store::isStable,
                 registry::isOutranked, SteadyClock::nanos);
         this.election = new OwnerElection(id, platform, config, ownerMonitor, registry, adviceDispatcher,
@@ -167,6 +170,7 @@
             case OWNER -> PeerOwnerProbe.handle(call.getOwner(), id, election, ownerMonitor);
             case RELAY -> PeerRelay.handle(call.getRelay(), service);
             case STORE -> PeerStoreProbe.handle(store);
+            case TERM -> termProbe.handle(call.getTerm(), election::endReplacedTerm);
             case JOB_NOTICE -> PeerJobNotice.handle(call.getJobNotice(), election);
             default ->
                 throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -7,16 +7,16 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
 
 /**
  * Tells how long the leases may last that earlier owners granted to workers which the present owner
  * can't reach. An owner that can't be reached may go on renewing them until it lacks confirmation
- * for too long. Once its process has certainly ended, only the leases that it left have to expire.
+ * for too long. Once its term is certainly over, only the leases that it left have to expire.
  */
-final class EarlierLeases
+final class EarlierLeases implements SupervisedTask
 {
-    private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Time after which a lease has certainly expired on the slowest clock of a worker. */
     private static final long LEASE_NANOS = TimeUnit.MILLISECONDS
             .toNanos((long) (WorkerSession.LEASE_MILLIS * TrackedWorker.MAX_CLOCK_DRIFT_FACTOR));
@@ -28,20 +28,44 @@
     static final long MAX_NANOS = OwnerLease.MAX_UNCONFIRMED_NANOS + LEASE_NANOS
             + OwnerTerm.RUN_END_MARGIN_NANOS;
 
-    private final ObservedTerm previousTerm;
+    private static final int PROBE_INTERVAL_MILLIS = 100;
+
+    private final PreviousTerm previousTerm;
     private final OtherBoxes otherBoxes;
+    private final long maxEndNanos = SteadyClock.nanos() + MAX_NANOS;
+    /** Set once the previous term is certainly over. */
+    private volatile OptionalLong endNanos = OptionalLong.empty();
 
     /**
-     * @param previousTerm the term before the present one, or {@link ObservedTerm#NONE} if it is
+     * @param previousTerm the term before the present one, or {@link PreviousTerm#NONE} if it is
      *            unknown
-     * @param otherBoxes tells whether the previous owner has ended
+     * @param otherBoxes asks whether the previous term is over
      */
-    EarlierLeases(ObservedTerm previousTerm, OtherBoxes otherBoxes)
+    EarlierLeases(PreviousTerm previousTerm, OtherBoxes otherBoxes)
     {
         this.previousTerm = previousTerm;
         this.otherBoxes = otherBoxes;
     }
 
+    /** Asks for the end of the previous term until it is known or doesn't matter any more. */
+    @Override
+    public void run() throws InterruptedException
+    {
+        while (previousTerm.isOwnerKnown() && endNanos.isEmpty() && remainingMillis() > 0)
+        {
+            OptionalLong termEnd = otherBoxes.termEndNanos(previousTerm);
+            if (termEnd.isPresent())
+            {
+                endNanos = OptionalLong.of(
+                        Math.max(termEnd.getAsLong() + LEASE_NANOS, previousTerm.earlierLeasesEndNanos()));
+            }
+            else
+            {
+                Thread.sleep(PROBE_INTERVAL_MILLIS);
+            }
+        }
+    }
+
     /** Returns the id of the previous owner, empty if it is unknown. */
     String previousOwner()
     {
@@ -50,33 +74,37 @@
 
     /**
      * Returns the monotonic time at which all leases of earlier terms have certainly expired, or empty
-     * if it isn't proved that the previous owner has ended. Owners before the previous one may have
-     * granted leases up to its begin and for {@link #MAX_NANOS} from then.
+     * if it isn't proved that the previous term is over.
      */
     OptionalLong endNanos()
     {
-        if (previousTerm.fence() == OwnerLease.UNKNOWN_FENCE)
-        {
-            return OptionalLong.empty();
-        }
-        OptionalLong processEnd = otherBoxes.endNanos(previousTerm.box());
-        boolean isProved = processEnd.isPresent()
-                && processEnd.getAsLong() - previousTerm.firstSeenNanos() > 0;
-        return isProved
-                ? OptionalLong.of(Math.max(processEnd.getAsLong() + LEASE_NANOS,
-                        previousTerm.firstSeenNanos() + MAX_NANOS))
-                : OptionalLong.empty();
+        return endNanos;
+    }
+
+    /** Returns how long leases of earlier terms may last from now, in milliseconds. */
+    long remainingMillis()
+    {
+        long lastNanos = Math.min(maxEndNanos, endNanos.orElse(maxEndNanos));
+        return Math.max(0, TimeUnit.NANOSECONDS.toMillis(lastNanos - SteadyClock.nanos()) + 1);
+    }
+
+    /** Returns the value of the journal's key for the next owner. */
+    JournalMark mark(OwnerLease owner, long write)
+    {
+        return new JournalMark(owner.box(), write, owner.fence(), otherBoxes.ownAddress(), remainingMillis());
     }
 
     /** Returns what is known of earlier terms, for the log. */
     String describe()
     {
-        String known = previousTerm.fence() == OwnerLease.UNKNOWN_FENCE
-                ? "the previous term is not known"
-                : "previous term " + previousTerm.fence() + " of " + previousTerm.box() + ", first seen "
-                        + (SteadyClock.nanos() - previousTerm.firstSeenNanos()) / NANOS_PER_MILLI
-                        + " ms ago";
-        return known + "; leases of earlier terms may last " + MAX_NANOS / NANOS_PER_MILLI
+        String known = previousTerm.isOwnerKnown()
+                ? "previous term " + previousTerm.fence() + " of " + previousTerm.box() + " at "
+                        + previousTerm.address() + ", leases of terms before it may last "
+                        + TimeUnit.NANOSECONDS
+                                .toMillis(previousTerm.earlierLeasesEndNanos() - SteadyClock.nanos())
+                        + " ms"
+                : "the owner of the previous term is not known";
+        return known + "; leases of earlier terms may last " + remainingMillis()
                 + " ms unless its end is proved";
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -64,22 +64,28 @@
     private final PlatformStore store;
     private final CellState cellState;
     private final OwnerLease owner;
+    private final EarlierLeases earlierLeases;
     private final EventLog events;
     private final Map<Job, List<Batch>> pendingJobs = new LinkedHashMap<>();
     private long journalRevision;
     private long writeCount;
+    /** Whether the journal's key is to be written even if no job has changed. */
+    private boolean markRequested;
 
     /**
      * @param store the platform's store
      * @param cellState state that holds the jobs
      * @param owner this box's term
+     * @param earlierLeases leases of earlier terms, of which each write tells the next owner
      * @param events log for store failures
      */
-    Journal(PlatformStore store, CellState cellState, OwnerLease owner, EventLog events)
+    Journal(PlatformStore store, CellState cellState, OwnerLease owner, EarlierLeases earlierLeases,
+            EventLog events)
     {
         this.store = store;
         this.cellState = cellState;
         this.owner = owner;
+        this.earlierLeases = earlierLeases;
         this.events = events;
         this.journalRevision = owner.fence();
     }
@@ -113,6 +119,16 @@
         });
     }
 
+    /** Requests a write of the journal's key. */
+    void requestMark()
+    {
+        synchronized (pendingJobs)
+        {
+            markRequested = true;
+            pendingJobs.notifyAll();
+        }
+    }
+
     @Override
     public void run() throws InterruptedException
     {
@@ -160,10 +176,11 @@
     {
         synchronized (pendingJobs)
         {
-            while (pendingJobs.isEmpty())
+            while (pendingJobs.isEmpty() && !markRequested)
             {
                 pendingJobs.wait();
             }
+            markRequested = false;
             Map<Job, List<Batch>> group = new LinkedHashMap<>();
             int records = 0;
             for (Map.Entry<Job, List<Batch>> entry : pendingJobs.entrySet())
@@ -227,7 +244,7 @@
         writeCount++;
         StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, owner.ownerRevision())
                 .require(JobKeys.JOURNAL, journalRevision)
-                .put(JobKeys.JOURNAL, Json.write(new JournalMark(owner.box(), writeCount, owner.fence())));
+                .put(JobKeys.JOURNAL, Json.write(earlierLeases.mark(owner, writeCount)));
         synchronized (cellState)
         {
             addRecords(jobs, transaction);
@@ -276,35 +293,4 @@
         journalRevision = HedgedCall.read(() -> store.get(JobKeys.JOURNAL)).map(StoredValue::modRevision)
                 .orElse(0L);
     }
-
-    /**
-     * Returns the term that wrote the journal's key last. The first value of a term isn't a
-     * {@link JournalMark}; it was written by the transaction that began the term, whose revision is the
-     * fencing token.
-     *
-     * @param journal the journal's key
-     * @return fencing token of the term, or {@link OwnerLease#UNKNOWN_FENCE} if the value has none
-     */
-    static long fenceOf(StoredValue journal)
-    {
-        try
-        {
-            return Json.read(journal.value(), JournalMark.class, ResultCode.STORE_BAD_ANSWER).fence();
-        }
-        catch (GaugehollowException e)
-        {
-            return journal.modRevision();
-        }
-    }
-
-    /**
-     * The value of the journal's key.
-     *
-     * @param box id of the box that wrote it
-     * @param write number of the write, which increases with each write
-     * @param fence fencing token of the box's term
-     */
-    record JournalMark(String box, long write, long fence)
-    {
-    }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OtherBoxes.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OtherBoxes.java
@@ -26,12 +26,18 @@
      */
     boolean isLongerRunning(String excludedBox);
 
+    /** @return address at which the other boxes reach this box */
+    String ownAddress();
+
     /**
-     * Returns a time by which the process of a box had certainly ended. A box that does not answer may
-     * still run; only a newer process at its address proves that it does not.
+     * Asks the process at the address of an earlier owner for the end of that owner's term. An owner
+     * that does not answer may still send commands; the word of the owner itself, or of another process
+     * at its address, proves that it does not.
      *
-     * @param box id of a box
-     * @return monotonic time in nanoseconds, or empty without proof
+     * @param term a term that another one has replaced
+     * @return monotonic time in nanoseconds since which no commands of the term are sent, or empty
+     *         without proof
+     * @throws InterruptedException if the thread is interrupted
      */
-    OptionalLong endNanos(String box);
+    OptionalLong termEndNanos(PreviousTerm term) throws InterruptedException;
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -12,6 +12,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -21,6 +22,7 @@
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.GaugehollowException;
+import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.platform.HedgedCall;
@@ -270,13 +272,20 @@
     private void tryToAcquireOwnership(long replacedRevision) throws InterruptedException
     {
         PlatformStore store = platform.store();
-        long storeLease = store.grantLease(LEASE_MILLIS);
+        FutureTask<Long> leaseGrant = new FutureTask<>(() -> store.grantLease(LEASE_MILLIS));
+        Thread.ofVirtual().name("owner-lease").start(leaseGrant);
+        Optional<StoredValue> journal = HedgedCall.read(() -> store.get(JobKeys.JOURNAL));
+        PreviousTerm previousTerm = readPreviousTerm(journal, replacedRevision);
+        long storeLease = await(leaseGrant);
         byte[] termId = (box + TERM_SEPARATOR + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, replacedRevision)
-                .put(JobKeys.OWNER, termId, storeLease).put(JobKeys.JOURNAL, termId);
-        long previousFence = replacedRevision == NO_OWNER_REVISION
-                ? requireUnchangedJournal(transaction)
-                : replacedRevision;
+                .put(JobKeys.OWNER, termId, storeLease)
+                .put(JobKeys.JOURNAL, Json.write(JournalMark.first(box, otherBoxes.ownAddress())));
+        if (replacedRevision == NO_OWNER_REVISION)
+        {
+            // Without an owner, only the journal ensures that no other term begins and ends before this one.
+            transaction.require(JobKeys.JOURNAL, journal.map(StoredValue::modRevision).orElse(0L));
+        }
         long sentNanos = SteadyClock.nanos();
         Optional<Long> revision;
         try
@@ -294,22 +303,32 @@
         }
         if (revision.isPresent())
         {
-            serveTerm(new OwnerLease(box, revision.get(), storeLease, previousFence, sentNanos));
+            serveTerm(new OwnerLease(box, revision.get(), storeLease, previousTerm.fence(), sentNanos),
+                    previousTerm);
         }
     }
 
-    /**
-     * Requires that the journal is unchanged, which ensures that no other term begins and ends before
-     * this one. Without an owner, only the journal identifies the previous term.
-     *
-     * @param transaction the transaction that begins the term
-     * @return fencing token of the previous term
-     */
-    private long requireUnchangedJournal(StoreTransaction transaction) throws InterruptedException
+    /** Returns the term before the one to begin, as far as the journal tells. */
+    private static PreviousTerm readPreviousTerm(Optional<StoredValue> journal, long replacedRevision)
     {
-        Optional<StoredValue> journal = HedgedCall.read(() -> platform.store().get(JobKeys.JOURNAL));
-        transaction.require(JobKeys.JOURNAL, journal.map(StoredValue::modRevision).orElse(0L));
-        return journal.map(Journal::fenceOf).orElse(OwnerLease.UNKNOWN_FENCE);
+        PreviousTerm recorded = journal.map(value -> JournalMark.readTerm(value, SteadyClock.nanos()))
+                .orElse(PreviousTerm.NONE);
+        boolean isPrevious = replacedRevision == NO_OWNER_REVISION || recorded.fence() == replacedRevision;
+        return isPrevious ? recorded : PreviousTerm.ofFence(replacedRevision);
+    }
+
+    private static <T> T await(FutureTask<T> call) throws InterruptedException
+    {
+        try
+        {
+            return call.get();
+        }
+        catch (ExecutionException e)
+        {
+            throw e.getCause() instanceof GaugehollowException failure
+                    ? failure
+                    : new IllegalStateException(e.getCause());
+        }
     }
 
     /**
@@ -323,15 +342,14 @@
         return isOwn ? Optional.of(ownerKey.get().modRevision()) : Optional.empty();
     }
 
-    private void serveTerm(OwnerLease lease) throws InterruptedException
+    private void serveTerm(OwnerLease lease, PreviousTerm previousTerm) throws InterruptedException
     {
         currentLease = lease;
         long startNanos = SteadyClock.nanos();
         events.record(EventType.OWNER_BEGAN, box, "fence " + lease.fence());
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
-        EarlierLeases earlierLeases = new EarlierLeases(monitor.observedTerm(lease.previousFence()),
-                otherBoxes);
+        EarlierLeases earlierLeases = new EarlierLeases(previousTerm, otherBoxes);
         events.record(EventType.EARLIER_TERM, box, earlierLeases.describe());
         try (OwnerTerm newTerm = new OwnerTerm(platform, lease, earlierLeases, events, termSupervisor, config,
                 adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
@@ -373,6 +391,27 @@
         releaseOwnership(lease, "box is stopping");
     }
 
+    /**
+     * Ends a term of this box because another box has replaced it.
+     *
+     * @param fence fencing token of the term
+     * @return whether this box certainly sends no more commands of that term; false if it doesn't know
+     *         the term yet
+     */
+    public boolean endReplacedTerm(long fence)
+    {
+        OwnerLease lease = currentLease;
+        if (lease == null || lease.fence() < fence)
+        {
+            return false;
+        }
+        if (lease.fence() == fence)
+        {
+            lease.end("another box replaced it");
+        }
+        return true;
+    }
+
     /** Ends the term and deletes the owner's key, so that another box can acquire ownership at once. */
     private void releaseOwnership(OwnerLease lease, String reason) throws InterruptedException
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerMonitor.java
@@ -91,17 +91,6 @@
         return observedTerm;
     }
 
-    /**
-     * Returns what was observed of a term.
-     *
-     * @param fence fencing token of the term
-     * @return the term, or {@link ObservedTerm#NONE} if it isn't the newest one observed
-     */
-    synchronized ObservedTerm observedTerm(long fence)
-    {
-        return observedTerm.fence() == fence ? observedTerm : ObservedTerm.NONE;
-    }
-
     /**
      * Waits until the owner should be replaced by another box.
      *
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -45,6 +45,7 @@
      * seconds.
      */
     private static final int WORKER_POLL_MILLIS = 700;
+    private static final int MARK_INTERVAL_MILLIS = 2_000;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Time that a run may take to end after its lease has expired. */
     static final long RUN_END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
@@ -88,7 +89,7 @@
         this.events = events;
         this.supervisor = supervisor;
         this.config = config;
-        this.journal = new Journal(platform.store(), cellState, lease, events);
+        this.journal = new Journal(platform.store(), cellState, lease, earlierLeases, events);
         this.adviceCache = new AdviceCache(cellState, adviceDispatcher, this::wake);
         this.planner = new Planner(cellState, adviceCache, score, stopCosts);
         this.reports = new TermReports(cellState, planner, adviceCache, lease, events);
@@ -106,9 +107,11 @@
     /** Restores the state recorded by earlier owners and starts the tasks of the term. */
     void begin() throws InterruptedException
     {
+        supervisor.start("earlier-leases", earlierLeases);
         expiringLeases.read();
         jobReader.readProgress();
         supervisor.start("journal", journal);
+        supervisor.start("journal-mark", this::updateMarkPeriodically);
         supervisor.start("lapsing", expiringLeases);
         supervisor.start("jobs", new KeyFollower(platform.store(), JobKeys.JOBS, jobReader, events));
         supervisor.start("planner", this::planPeriodically);
@@ -139,6 +142,18 @@
                 WORKER_POLL_MILLIS, workerSessions, events));
     }
 
+    /**
+     * Keeps the journal's mark up to date in a quiet cell, as long as leases of earlier terms matter.
+     */
+    private void updateMarkPeriodically() throws InterruptedException
+    {
+        while (!lease.hasEnded() && earlierLeases.remainingMillis() > 0)
+        {
+            Thread.sleep(MARK_INTERVAL_MILLIS);
+            journal.requestMark();
+        }
+    }
+
     private void planPeriodically() throws InterruptedException
     {
         while (!lease.hasEnded())
@@ -253,7 +268,7 @@
         }
     }
 
-    /** Shortens the wait for unreachable workers once the previous owner has certainly ended. */
+    /** Shortens the wait for unreachable workers once the previous term is certainly over. */
     private void limitEarlierLeases()
     {
         OptionalLong endNanos = earlierLeases.endNanos();
@@ -261,7 +276,7 @@
         {
             long millisLeft = (endNanos.getAsLong() - SteadyClock.nanos()) / NANOS_PER_MILLI;
             events.record(EventType.EARLIER_LEASES_LIMITED, earlierLeases.previousOwner(),
-                    "its process has ended; the leases that it left expire in " + millisLeft + " ms");
+                    "its term is over; leases of earlier terms expire in " + millisLeft + " ms");
         }
     }
 
--- /dev/null
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
@@ -0,0 +1,34 @@
+/*
+ * Licensed to the gaugehollow project under the Apache License, Version 2.0.
+ * See the LICENSE file at the root of this repository for the full terms.
+ */
+package org.gaugehollow.schedule;
+
+/**
+ * The term before the present one, as recorded in the store.
+ *
+ * @param fence fencing token, or {@link OwnerLease#UNKNOWN_FENCE} if no term is known
+ * @param box id of the owner; empty if it isn't known
+ * @param address address at which other boxes reached the owner; empty if it isn't known
+ * @param earlierLeasesEndNanos monotonic time at which leases granted in terms before that one have
+ *            certainly expired; only valid if the address is known
+ */
+public record PreviousTerm(long fence, String box, String address, long earlierLeasesEndNanos)
+{
+    private static final String UNKNOWN = "";
+
+    /** Stands for an unknown term. */
+    static final PreviousTerm NONE = ofFence(OwnerLease.UNKNOWN_FENCE);
+
+    /** Returns a term of which only the fencing token is known. */
+    static PreviousTerm ofFence(long fence)
+    {
+        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0);
+    }
+
+    /** Returns whether the owner and its address are known */
+    boolean isOwnerKnown()
+    {
+        return !address.equals(UNKNOWN);
+    }
+}
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
@@ -6,70 +6,115 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.model.Json;
+import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.time.SteadyClock;
 import org.junit.jupiter.api.Test;
 
-/** Tests how long leases of earlier owners may last, by what is known of the previous owner. */
+/** Tests how long leases of earlier owners may last, by what is known of the previous term. */
 class EarlierLeasesTest
 {
     private static final String OWNER = "bole-1";
     private static final long FENCE = 7;
     private static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerSession.LEASE_MILLIS);
+    private static final long MAX_MILLIS = TimeUnit.NANOSECONDS.toMillis(EarlierLeases.MAX_NANOS);
+    /** Time for several questions to the previous owner. */
+    private static final long PROBING_MILLIS = 500;
 
     private final FakeOtherBoxes otherBoxes = new FakeOtherBoxes();
 
-    private OptionalLong endNanos(long firstSeenNanos)
+    private EarlierLeases earlierLeases(long earlierLeasesEndNanos)
     {
-        return new EarlierLeases(new ObservedTerm(FENCE, OWNER, firstSeenNanos), otherBoxes).endNanos();
+        return new EarlierLeases(
+                new PreviousTerm(FENCE, OWNER, FakeOtherBoxes.ADDRESS, earlierLeasesEndNanos), otherBoxes);
     }
 
-    private static long longAgo()
+    private static OptionalLong probe(EarlierLeases leases) throws InterruptedException
     {
-        return SteadyClock.nanos() - EarlierLeases.MAX_NANOS;
+        Thread probing = OwnerTerm.inBackground("probing", leases::run);
+        probing.join(PROBING_MILLIS);
+        probing.interrupt();
+        return leases.endNanos();
+    }
+
+    private long ownerEndNanos()
+    {
+        return otherBoxes.termEndNanos(new PreviousTerm(FENCE, OWNER, "", 0)).orElseThrow();
     }
 
     @Test
-    void leasesOfEndedOwnerExpireOneLeaseAfterItsEnd()
+    void leasesOfEndedTermExpireOneLeaseAfterItsEnd() throws InterruptedException
     {
         otherBoxes.end(OWNER);
-        long endNanos = endNanos(longAgo()).orElseThrow() - otherBoxes.endNanos(OWNER).orElseThrow();
-        assertThat(endNanos).isAtLeast(LEASE_NANOS);
-        assertThat(endNanos).isLessThan(LEASE_NANOS + LEASE_NANOS / 10);
+        EarlierLeases leases = earlierLeases(SteadyClock.nanos());
+        long leaseNanos = probe(leases).orElseThrow() - ownerEndNanos();
+        assertThat(leaseNanos).isAtLeast(LEASE_NANOS);
+        assertThat(leaseNanos).isLessThan(LEASE_NANOS + LEASE_NANOS / 10);
+        assertThat(leases.remainingMillis())
+                .isAtMost(TimeUnit.NANOSECONDS.toMillis(LEASE_NANOS + LEASE_NANOS / 10));
     }
 
     /** Guards against two runs of a task, because an owner that may run counts as ended. */
     @Test
-    void nothingIsKnownOfAnOwnerThatMayRun()
+    void nothingIsKnownOfAnOwnerThatMayRun() throws InterruptedException
     {
         otherBoxes.end("bole-2");
-        assertThat(endNanos(longAgo())).isEqualTo(OptionalLong.empty());
+        EarlierLeases leases = earlierLeases(SteadyClock.nanos());
+        assertThat(probe(leases)).isEqualTo(OptionalLong.empty());
+        assertThat(leases.remainingMillis()).isGreaterThan(MAX_MILLIS - TimeUnit.SECONDS.toMillis(5));
     }
 
     /** Guards against two runs of a task, because the owner before the previous one may still run. */
     @Test
-    void ownersBeforeThePreviousOneAreWaitedFor()
+    void ownersBeforeThePreviousOneAreWaitedFor() throws InterruptedException
     {
-        long firstSeenNanos = SteadyClock.nanos() - 1;
         otherBoxes.end(OWNER);
-        assertThat(endNanos(firstSeenNanos))
-                .isEqualTo(OptionalLong.of(firstSeenNanos + EarlierLeases.MAX_NANOS));
+        long earlierEndNanos = SteadyClock.nanos() + EarlierLeases.MAX_NANOS - 1;
+        assertThat(probe(earlierLeases(earlierEndNanos))).isEqualTo(OptionalLong.of(earlierEndNanos));
     }
 
     @Test
-    void endBeforeTheTermWasSeenProvesNothing()
+    void nothingIsKnownOfAnUnknownOwner() throws InterruptedException
     {
-        otherBoxes.end(OWNER);
-        assertThat(endNanos(SteadyClock.nanos() + 1)).isEqualTo(OptionalLong.empty());
+        otherBoxes.end(PreviousTerm.NONE.box());
+        assertThat(probe(new EarlierLeases(PreviousTerm.NONE, otherBoxes))).isEqualTo(OptionalLong.empty());
+        assertThat(probe(new EarlierLeases(PreviousTerm.ofFence(FENCE), otherBoxes)))
+                .isEqualTo(OptionalLong.empty());
     }
 
+    /**
+     * Guards against two runs of a task, because a term that has just begun tells nothing of those
+     * before it.
+     */
     @Test
-    void nothingIsKnownOfAnUnknownOwner()
+    void termThatHasJustBegunLeavesTheLongestWait()
     {
-        otherBoxes.end(ObservedTerm.NONE.box());
-        assertThat(new EarlierLeases(ObservedTerm.NONE, otherBoxes).endNanos())
-                .isEqualTo(OptionalLong.empty());
+        long nowNanos = SteadyClock.nanos();
+        StoredValue journal = value(Json.write(JournalMark.first(OWNER, FakeOtherBoxes.ADDRESS)));
+        PreviousTerm term = JournalMark.readTerm(journal, nowNanos);
+        assertThat(term.fence()).isEqualTo(FENCE);
+        assertThat(term.box()).isEqualTo(OWNER);
+        assertThat(term.earlierLeasesEndNanos() - nowNanos)
+                .isAtLeast(TimeUnit.MILLISECONDS.toNanos(MAX_MILLIS));
+    }
+
+    /** Guards against two runs of a task, because a missing time counts as none. */
+    @Test
+    void marksOfEarlierVersionsNameNoOwner()
+    {
+        StoredValue mark = value(
+                "{\"box\":\"bole-1\",\"write\":3,\"fence\":5}".getBytes(StandardCharsets.UTF_8));
+        assertThat(JournalMark.readTerm(mark, 0)).isEqualTo(PreviousTerm.ofFence(5));
+        StoredValue first = value("bole-1/8f2e".getBytes(StandardCharsets.UTF_8));
+        assertThat(JournalMark.readTerm(first, 0)).isEqualTo(PreviousTerm.ofFence(FENCE));
+    }
+
+    private static StoredValue value(byte[] bytes)
+    {
+        return new StoredValue("journal", bytes, FENCE);
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOtherBoxes.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOtherBoxes.java
@@ -15,6 +15,9 @@
  */
 final class FakeOtherBoxes implements OtherBoxes
 {
+    /** Address of this box. */
+    static final String ADDRESS = "127.0.0.1:1";
+
     private final Map<String, Long> ends = new ConcurrentHashMap<>();
     private volatile boolean outranked;
     private volatile boolean longerRunning;
@@ -29,7 +32,7 @@
         longerRunning = value;
     }
 
-    /** Lets the process of a box have ended now. */
+    /** Lets all terms of a box be over now. */
     void end(String box)
     {
         ends.put(box, SteadyClock.nanos());
@@ -48,9 +51,15 @@
     }
 
     @Override
-    public OptionalLong endNanos(String box)
+    public String ownAddress()
+    {
+        return ADDRESS;
+    }
+
+    @Override
+    public OptionalLong termEndNanos(PreviousTerm term)
     {
-        Long nanos = ends.get(box);
+        Long nanos = ends.get(term.box());
         return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -51,7 +51,8 @@
         long revision = store.commit(new StoreTransaction().require(JobKeys.OWNER, 0).put(JobKeys.OWNER, TERM)
                 .put(JobKeys.JOURNAL, TERM)).orElseThrow();
         owner = new OwnerLease("box", revision, 1, OwnerLease.UNKNOWN_FENCE, SteadyClock.nanos());
-        journal = new Journal(store, cellState, owner, events);
+        journal = new Journal(store, cellState, owner,
+                new EarlierLeases(PreviousTerm.NONE, new FakeOtherBoxes()), events);
         supervisor.start("journal", journal);
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -14,6 +14,7 @@
 import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.Customers;
 import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.model.Json;
 import org.gaugehollow.placement.WaitingFirstScore;
 import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
@@ -61,12 +62,12 @@
         byte[] ownerValue = box.getBytes(StandardCharsets.UTF_8);
         long previousFence = platform.store().get(JobKeys.OWNER).map(StoredValue::modRevision)
                 .orElse(OwnerLease.UNKNOWN_FENCE);
-        long revision = platform.store().commit(
-                new StoreTransaction().put(JobKeys.OWNER, ownerValue).put(JobKeys.JOURNAL, ownerValue))
+        long revision = platform.store().commit(new StoreTransaction().put(JobKeys.OWNER, ownerValue)
+                .put(JobKeys.JOURNAL, Json.write(JournalMark.first(box, FakeOtherBoxes.ADDRESS))))
                 .orElseThrow();
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence, SteadyClock.nanos());
-        EarlierLeases earlierLeases = new EarlierLeases(ObservedTerm.NONE, new FakeOtherBoxes());
+        EarlierLeases earlierLeases = new EarlierLeases(PreviousTerm.NONE, new FakeOtherBoxes());
         term = new OwnerTerm(platform, lease, earlierLeases, events, supervisor.child("term"), config,
                 new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
                 StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), new CopyStatistics(), retentionNanos);
