ExpiringLeases: recorded leases count from the end of the owner that recorded them

Change: once the end of the previous term is proved, the recorded times count from that end, since the record was written before.

Evidence: EndedOwnerTest.recordedLeasesOfEndedOwnerCountFromItsEnd failed before ("expected to be true": the task did not run within 9 s of the loss of its worker, 4 s of them without a box) and passes; EarlierLeasesTest, ExpiringLeasesTest, JournalTest, WorkerIncarnationsTest pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -7,6 +7,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.EventType;
 import org.gaugehollow.supervise.SupervisedTask;
 import org.gaugehollow.time.SteadyClock;
 
@@ -33,8 +35,9 @@
     private final PreviousTerm previousTerm;
     private final OtherBoxes otherBoxes;
     private final long maxEndNanos = SteadyClock.nanos() + MAX_NANOS;
-    /** Set once the previous term is certainly over. */
-    private volatile OptionalLong endNanos = OptionalLong.empty();
+    private volatile OptionalLong termEndNanos = OptionalLong.empty();
+    /** Whether the end of the previous term was applied to the workers. */
+    private boolean limited;
 
     /**
      * @param previousTerm the term before the present one, or {@link PreviousTerm#NONE} if it is
@@ -51,25 +54,38 @@
     @Override
     public void run() throws InterruptedException
     {
-        while (previousTerm.isOwnerKnown() && endNanos.isEmpty() && remainingMillis() > 0)
+        while (previousTerm.isOwnerKnown() && remainingMillis() > 0)
         {
-            OptionalLong termEnd = otherBoxes.termEndNanos(previousTerm);
-            if (termEnd.isPresent())
+            termEndNanos = otherBoxes.termEndNanos(previousTerm);
+            if (termEndNanos.isPresent())
             {
-                endNanos = OptionalLong.of(
-                        Math.max(termEnd.getAsLong() + LEASE_NANOS, previousTerm.earlierLeasesEndNanos()));
-            }
-            else
-            {
-                Thread.sleep(PROBE_INTERVAL_MILLIS);
+                return;
             }
+            Thread.sleep(PROBE_INTERVAL_MILLIS);
         }
     }
 
-    /** Returns the id of the previous owner, empty if it is unknown. */
-    String previousOwner()
+    /**
+     * Shortens the wait for unreachable workers once the previous term is certainly over. The caller
+     * holds the lock of the cell state.
+     *
+     * @param workers the tracked workers
+     * @param recorded the leases that the previous owner recorded
+     * @param events log for the decision
+     */
+    void limit(TrackedWorkers workers, ExpiringLeases recorded, EventLog events)
     {
-        return previousTerm.box();
+        OptionalLong termEnd = termEndNanos;
+        if (limited || termEnd.isEmpty())
+        {
+            return;
+        }
+        limited = true;
+        workers.limitUnknownLeases(endNanos().getAsLong());
+        // The record was written before the term ended.
+        workers.limitRecordedLeases(recorded.adoptedLeaseEnds(termEnd.getAsLong()));
+        events.record(EventType.EARLIER_LEASES_LIMITED, previousTerm.box(),
+                "its term is over; leases of earlier terms expire in " + remainingMillis() + " ms");
     }
 
     /**
@@ -78,13 +94,17 @@
      */
     OptionalLong endNanos()
     {
-        return endNanos;
+        OptionalLong termEnd = termEndNanos;
+        return termEnd.isEmpty()
+                ? termEnd
+                : OptionalLong.of(
+                        Math.max(termEnd.getAsLong() + LEASE_NANOS, previousTerm.earlierLeasesEndNanos()));
     }
 
     /** Returns how long leases of earlier terms may last from now, in milliseconds. */
     long remainingMillis()
     {
-        long lastNanos = Math.min(maxEndNanos, endNanos.orElse(maxEndNanos));
+        long lastNanos = Math.min(maxEndNanos, endNanos().orElse(maxEndNanos));
         return Math.max(0, TimeUnit.NANOSECONDS.toMillis(lastNanos - SteadyClock.nanos()) + 1);
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -59,6 +59,8 @@
     private final Map<String, Long> leaseEnds = new HashMap<>();
     /** Workers that the stored record may contain, including writes with unknown outcome. */
     private final Set<String> possiblyRecorded = new HashSet<>();
+    /** Remaining lease times that the previous owner recorded, in milliseconds. */
+    private volatile Map<String, Long> adoptedMillis = Map.of();
     /** Whether the store is known to hold the newest record of this term, or needs none. */
     private boolean synced = true;
 
@@ -114,9 +116,8 @@
         {
             return;
         }
-        long now = SteadyClock.nanos();
-        leaseRecord.millisLeft().forEach(
-                (id, remaining) -> leaseEnds.put(id, now + TimeUnit.MILLISECONDS.toNanos(remaining)));
+        adoptedMillis = leaseRecord.millisLeft();
+        leaseEnds.putAll(adoptedLeaseEnds(SteadyClock.nanos()));
         possiblyRecorded.addAll(leaseEnds.keySet());
         synced = false;
         synchronized (cellState)
@@ -127,6 +128,20 @@
                 "adopted from the previous term: " + leaseRecord.millisLeft());
     }
 
+    /**
+     * Returns the monotonic time of the end of each lease that the previous owner recorded, by
+     * incarnation.
+     *
+     * @param writtenNanos monotonic time by which the record had been written
+     */
+    Map<String, Long> adoptedLeaseEnds(long writtenNanos)
+    {
+        Map<String, Long> ends = new HashMap<>();
+        adoptedMillis
+                .forEach((id, millis) -> ends.put(id, writtenNanos + TimeUnit.MILLISECONDS.toNanos(millis)));
+        return ends;
+    }
+
     private LeaseRecord parse(StoredValue value)
     {
         try
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -37,6 +37,8 @@
     private static final int RETRY_MILLIS = 60;
     /** Minimum time between the starts of two writes. */
     private static final int MIN_WRITE_INTERVAL_MILLIS = 25;
+    /** Maximum age of the journal's key while leases of earlier terms may last. */
+    private static final long MARK_INTERVAL_MILLIS = 2_000;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Jobs that were enqueued together. */
@@ -69,8 +71,7 @@
     private final Map<Job, List<Batch>> pendingJobs = new LinkedHashMap<>();
     private long journalRevision;
     private long writeCount;
-    /** Whether the journal's key is to be written even if no job has changed. */
-    private boolean markRequested;
+    private long lastWriteNanos = SteadyClock.nanos();
 
     /**
      * @param store the platform's store
@@ -119,16 +120,6 @@
         });
     }
 
-    /** Requests a write of the journal's key. */
-    void requestMark()
-    {
-        synchronized (pendingJobs)
-        {
-            markRequested = true;
-            pendingJobs.notifyAll();
-        }
-    }
-
     @Override
     public void run() throws InterruptedException
     {
@@ -176,11 +167,10 @@
     {
         synchronized (pendingJobs)
         {
-            while (pendingJobs.isEmpty() && !markRequested)
+            while (pendingJobs.isEmpty() && !isMarkDue())
             {
-                pendingJobs.wait();
+                pendingJobs.wait(MARK_INTERVAL_MILLIS);
             }
-            markRequested = false;
             Map<Job, List<Batch>> group = new LinkedHashMap<>();
             int records = 0;
             for (Map.Entry<Job, List<Batch>> entry : pendingJobs.entrySet())
@@ -197,6 +187,13 @@
         }
     }
 
+    /** Returns whether the journal's key is to be written although no job has changed. */
+    private boolean isMarkDue()
+    {
+        return earlierLeases.remainingMillis() > 0
+                && SteadyClock.nanos() - lastWriteNanos >= MARK_INTERVAL_MILLIS * NANOS_PER_MILLI;
+    }
+
     /**
      * Returns the number of records to write: the progress and, if the job has ended, its tombstone.
      */
@@ -253,6 +250,7 @@
         if (revision.isPresent())
         {
             journalRevision = revision.get();
+            lastWriteNanos = SteadyClock.nanos();
             return true;
         }
         readRevision();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -45,7 +44,6 @@
      * seconds.
      */
     private static final int WORKER_POLL_MILLIS = 700;
-    private static final int MARK_INTERVAL_MILLIS = 2_000;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** Time that a run may take to end after its lease has expired. */
     static final long RUN_END_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
@@ -111,7 +109,6 @@
         expiringLeases.read();
         jobReader.readProgress();
         supervisor.start("journal", journal);
-        supervisor.start("journal-mark", this::updateMarkPeriodically);
         supervisor.start("lapsing", expiringLeases);
         supervisor.start("jobs", new KeyFollower(platform.store(), JobKeys.JOBS, jobReader, events));
         supervisor.start("planner", this::planPeriodically);
@@ -142,18 +139,6 @@
                 WORKER_POLL_MILLIS, workerSessions, events));
     }
 
-    /**
-     * Keeps the journal's mark up to date in a quiet cell, as long as leases of earlier terms matter.
-     */
-    private void updateMarkPeriodically() throws InterruptedException
-    {
-        while (!lease.hasEnded() && earlierLeases.remainingMillis() > 0)
-        {
-            Thread.sleep(MARK_INTERVAL_MILLIS);
-            journal.requestMark();
-        }
-    }
-
     private void planPeriodically() throws InterruptedException
     {
         while (!lease.hasEnded())
@@ -213,7 +198,7 @@
             {
                 cellState.configure(newest);
             }
-            limitEarlierLeases();
+            earlierLeases.limit(cellState.trackedWorkers(), expiringLeases, events);
             expired = releaseExpiredWorkers();
             poisoned = cellState.failPoisonTasks();
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
@@ -268,18 +253,6 @@
         }
     }
 
-    /** Shortens the wait for unreachable workers once the previous term is certainly over. */
-    private void limitEarlierLeases()
-    {
-        OptionalLong endNanos = earlierLeases.endNanos();
-        if (endNanos.isPresent() && cellState.trackedWorkers().limitUnknownLeases(endNanos.getAsLong()))
-        {
-            long millisLeft = (endNanos.getAsLong() - SteadyClock.nanos()) / NANOS_PER_MILLI;
-            events.record(EventType.EARLIER_LEASES_LIMITED, earlierLeases.previousOwner(),
-                    "its term is over; leases of earlier terms expire in " + millisLeft + " ms");
-        }
-    }
-
     private List<Effects> releaseExpiredWorkers()
     {
         List<Effects> allEffects = new ArrayList<>();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorkers.java
@@ -143,17 +143,25 @@
      * Limits the leases that earlier owners granted.
      *
      * @param endNanos monotonic time at which all of them have certainly expired
-     * @return whether this is earlier than known before
      */
-    boolean limitUnknownLeases(long endNanos)
+    void limitUnknownLeases(long endNanos)
     {
-        if (endNanos >= unknownLeaseEndNanos)
-        {
-            return false;
-        }
-        unknownLeaseEndNanos = endNanos;
+        unknownLeaseEndNanos = Math.min(unknownLeaseEndNanos, endNanos);
         workers.values().forEach(worker -> worker.limitUnknownLease(endNanos));
-        return true;
+    }
+
+    /**
+     * Limits the leases that the previous owner recorded.
+     *
+     * @param leaseEnds monotonic time at which each of them has certainly expired, by incarnation
+     */
+    void limitRecordedLeases(Map<String, Long> leaseEnds)
+    {
+        leaseEnds.forEach((id, endNanos) ->
+        {
+            recordedLeaseEnds.computeIfPresent(id, (key, known) -> Math.min(known, endNanos));
+            find(id).ifPresent(worker -> worker.limitUnknownLease(endNanos));
+        });
     }
 
     /** Stops renewing the lease of a worker. */
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EndedOwnerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EndedOwnerTest.java
@@ -6,8 +6,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.concurrent.TimeUnit;
+
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobKeys;
+import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.supervise.Supervisor;
 import org.gaugehollow.time.SteadyClock;
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +30,8 @@
     private static final long MAX_AWAY_MILLIS = 9_000;
     /** Duration of a term after which nothing is left of the terms before it. */
     private static final long TERM_MILLIS = 10_000;
+    /** Time for which no box runs. */
+    private static final long DOWNTIME_MILLIS = 4_000;
 
     private final EventLog events = new EventLog("bole-2", new HybridClock(System::currentTimeMillis));
     private final FakePlatform platform = new FakePlatform();
@@ -73,4 +79,27 @@
         otherBoxes.end(OWNER);
         assertThat(TestJobs.waitUntil(MAX_AWAY_MILLIS, () -> other.isRunning(TASK))).isTrue();
     }
+
+    /** Guards against tasks that stand still for as long again as all boxes were down. */
+    @Test
+    void recordedLeasesOfEndedOwnerCountFromItsEnd() throws InterruptedException
+    {
+        FakeWorker lost = platform.addWorker("w1");
+        term = new TestTerm(platform, OWNER);
+        platform.accept(TestJobs.job(TestJobs.ID, TestJobs.longRunning(1)));
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> lost.isRunning(TASK))).isTrue();
+        FakeWorker other = platform.addWorker("w2");
+        lost.setUnresponsive(true);
+        platform.unlist("w1");
+        long lostNanos = SteadyClock.nanos();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS,
+                () -> platform.fakeStore().get(JobKeys.EXPIRING_LEASES).isPresent())).isTrue();
+        term.close();
+        otherBoxes.end(OWNER);
+        platform.store().commit(new StoreTransaction().delete(JobKeys.OWNER));
+        Thread.sleep(DOWNTIME_MILLIS);
+        startElection();
+        long awayMillis = TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - lostNanos);
+        assertThat(TestJobs.waitUntil(MAX_AWAY_MILLIS - awayMillis, () -> other.isRunning(TASK))).isTrue();
+    }
 }
