ExpiringLeases: a worker is recorded after half a second without an answer

Change: a worker is recorded after 0.5 s in place of 1 s, the time of three heartbeats to a worker whose connections are refused; only while the store has answered a renewal of the term within 0.45 s, so workers that become unresponsive together with the store are still not recorded.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -38,13 +38,14 @@
      * Time without an answer after which a worker is recorded. Long enough for a heartbeat over a new
      * connection where only a connection was lost; that takes a retry delay of 0.15 s and a round trip.
      */
-    private static final long MIN_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long MIN_UNRESPONSIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /**
      * Maximum time since the store last answered a renewal of the term for a worker to be added.
-     * Otherwise a recovered worker could stay without a lease until the store answers again.
-     * Corresponds to three renewals of the term.
+     * Otherwise a recovered worker could stay without a lease until the store answers again. Shorter
+     * than the time until a worker is recorded, so that workers that become unresponsive together with
+     * the store are not recorded.
      */
-    private static final long MAX_UNRENEWED_MILLIS = 900;
+    private static final long MAX_UNRENEWED_MILLIS = 450;
     /** Time for which a worker remains recorded after its lease has expired. */
     private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long PERIOD_MILLIS = 200;
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/ExpiringLeasesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/ExpiringLeasesTest.java
@@ -30,6 +30,8 @@
     private static final long PLACEMENT_MILLIS = 700;
     /** Upper limit of the time until an unresponsive worker is recorded. */
     private static final long MAX_RECORD_MILLIS = 10_000;
+    /** Upper limit of that time from the second unanswered heartbeat. */
+    private static final long MAX_RECORD_DELAY_MILLIS = 700;
     /**
      * Lower limit of the time that an owner waits for an unreachable worker without a recorded lease.
      */
@@ -89,6 +91,20 @@
         assertThat(second.startedRuns()).isEqualTo(List.of(TASK + "/2"));
     }
 
+    /**
+     * Guards against waiting for the maximum lease time for a worker that is lost shortly before its
+     * owner.
+     */
+    @Test
+    void workerIsRecordedSoonAfterItsFirstMissedHeartbeat() throws InterruptedException
+    {
+        first.setUnresponsive(true);
+        int heartbeats = first.heartbeatCount();
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> first.heartbeatCount() > heartbeats + 1))
+                .isTrue();
+        assertThat(TestJobs.waitUntil(MAX_RECORD_DELAY_MILLIS, () -> isRecorded("w1"))).isTrue();
+    }
+
     /** Guards against trusting a record although the term in between may have renewed the leases. */
     @Test
     void recordFromTwoTermsAgoIsIgnored() throws InterruptedException
