E539, E540: the log tells when a crash is recorded for a task, and when it is withdrawn

A crash history was told only when it failed a job (E525), so a record that is kept although its worker answered again could not be told from one of an earlier owner, nor from workers that crashed (hypotheses 1, 2 and 4 of docs/incidents/lapsed-leases-as-crashes.md). Both events name the task, the worker incarnation and the attribution; E539 also the run, why the crash is assumed (another incarnation, lease expired, run abandoned) and the run time, E540 why it does not count any more. One line for each change, none for a heartbeat. The changes leave CrashGuard with the Effects, like lost runs; what OwnerTerm logged of losses is LossReport now, since OwnerTerm would have been too long.

CrashGuardTest.reportsCrashesAndTheirWithdrawal passes. UnresponsiveWorkerGuard.check takes the Effects that collect its records; its tests pass new ones, their assertions are unchanged.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -239,7 +239,7 @@
     /** Fails poison tasks. Confirming one task may explain crashes of others and clear them. */
     private void failPoisonTasks(Effects effects)
     {
-        for (Task task : crashGuard.check())
+        for (Task task : crashGuard.check(effects))
         {
             if (crashGuard.isPoison(task))
             {
@@ -253,7 +253,7 @@
         if (!task.step().job().state().isFinal())
         {
             effects.addPoisonTask(task);
-            crashGuard.confirmPoison(task);
+            crashGuard.confirmPoison(task, effects);
             finish(task.step().job(), JobState.FAILED, effects);
         }
     }
@@ -313,7 +313,7 @@
         long now = nanoTime.getAsLong();
         worker.updateClock(reply.clockMillis(), now);
         worker.recordHeartbeat(now);
-        crashGuard.onWorkerResponded(worker);
+        crashGuard.onWorkerResponded(worker, effects);
         for (EndedRun end : reply.ended())
         {
             if (end.number() > lastEndNumber)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -53,6 +53,10 @@
     /** Observed run time after which the crash history of a task is cleared. */
     static final long CLEAR_AFTER_MILLIS = 10_000;
 
+    private static final String ABANDONED = "abandoned, the worker is unresponsive";
+    private static final String RESPONDS = "the worker responds again";
+    private static final String SURVIVED = "a run has survived long enough";
+
     private final TrackedWorkers workers;
     private final RecentCrashes recentCrashes;
     /** Tasks with a crash history, until they are cleared or their jobs end. */
@@ -85,20 +89,29 @@
     /**
      * Records that a run on an unresponsive worker was abandoned, so that its task may start elsewhere.
      */
-    void onRunAbandoned(Task task, TrackedWorker worker)
+    void onRunAbandoned(Task task, TrackedWorker worker, Effects effects)
     {
         UnresponsiveRun run = UnresponsiveRun.of(task, worker);
         worker.addAbandonedRun(run);
         if (run.hadJustStarted())
         {
-            recordCrash(run.task(), worker, Attribution.UNPROVEN);
+            recordCrash(run, worker, Attribution.UNPROVEN, ABANDONED, effects);
         }
     }
 
     /** Withdraws the suspicion against the runs that were abandoned on a worker that responds again. */
-    void onWorkerResponded(TrackedWorker worker)
+    void onWorkerResponded(TrackedWorker worker, Effects effects)
+    {
+        withdrawAbandoned(worker, RESPONDS, effects);
+    }
+
+    private static void withdrawAbandoned(TrackedWorker worker, String reason, Effects effects)
     {
-        worker.removeAbandonedRuns().forEach(run -> removeCrash(run.task(), worker));
+        for (UnresponsiveRun run : worker.removeAbandonedRuns())
+        {
+            Task task = run.task();
+            updateCrashes(task, task.crashes().without(worker.id()), reason, effects);
+        }
     }
 
     /**
@@ -112,11 +125,11 @@
         {
             case CRASHED -> handleCrash(worker, effects);
             case LAPSED -> {
-                handleLeaseExpired(worker);
+                handleLeaseExpired(worker, effects);
                 yield List.of();
             }
             case LEFT -> {
-                onWorkerResponded(worker);
+                withdrawAbandoned(worker, cause.description(), effects);
                 yield List.of();
             }
         };
@@ -142,7 +155,7 @@
             boolean isSuspected = run.hadJustStarted() || justStartedCount == 0 && !isCorrelated;
             if (isSuspected && run.durationMillis() < CLEAR_AFTER_MILLIS)
             {
-                recordCrash(run.task(), worker, run.attribution());
+                recordCrash(run, worker, run.attribution(), WorkerLossCause.CRASHED.description(), effects);
             }
             boolean startedAlone = run.hadJustStarted() && justStartedCount == 1;
             if (hasEnoughAttributedCrashes(run.task())
@@ -154,10 +167,11 @@
         return poisonTasks;
     }
 
-    private void handleLeaseExpired(TrackedWorker worker)
+    private void handleLeaseExpired(TrackedWorker worker, Effects effects)
     {
         possiblyStartedRuns(worker).stream().filter(UnresponsiveRun::hadJustStarted)
-                .forEach(run -> recordCrash(run.task(), worker, Attribution.UNPROVEN));
+                .forEach(run -> recordCrash(run, worker, Attribution.UNPROVEN,
+                        WorkerLossCause.LAPSED.description(), effects));
     }
 
     /** Returns the runs that may have started on a worker and were not abandoned. */
@@ -167,18 +181,23 @@
                 .map(task -> UnresponsiveRun.of(task, worker)).toList();
     }
 
-    private void recordCrash(Task task, TrackedWorker worker, Attribution attribution)
+    private void recordCrash(UnresponsiveRun run, TrackedWorker worker, Attribution attribution, String cause,
+            Effects effects)
     {
+        Task task = run.task();
         if (!task.step().job().state().isFinal() && task.phase() != Task.Phase.DONE)
         {
             task.setCrashes(task.crashes().with(worker.id(), attribution));
             trackedTasks.add(task);
+            effects.addRecordedCrash(run, worker, attribution, cause);
         }
     }
 
-    private static void removeCrash(Task task, TrackedWorker worker)
+    /** Sets a history from which crashes were removed. */
+    private static void updateCrashes(Task task, CrashHistory updated, String reason, Effects effects)
     {
-        task.setCrashes(task.crashes().without(worker.id()));
+        effects.addWithdrawnCrashes(task, updated, reason);
+        task.setCrashes(updated);
     }
 
     /**
@@ -218,14 +237,15 @@
     }
 
     /** Marks the crashes of a confirmed poison task as explained for all other tasks. */
-    void confirmPoison(Task task)
+    void confirmPoison(Task task, Effects effects)
     {
         Set<String> crashedWorkers = task.crashes().provenWorkers();
         for (Task other : trackedTasks)
         {
             if (other != task)
             {
-                other.setCrashes(other.crashes().withExplained(crashedWorkers));
+                updateCrashes(other, other.crashes().withExplained(crashedWorkers),
+                        "explained by " + task.name(), effects);
             }
         }
     }
@@ -236,7 +256,7 @@
      * @return the waiting tasks to fail, those with the most attributed crashes first; failing one may
      *         clear others
      */
-    List<Task> check()
+    List<Task> check(Effects effects)
     {
         List<Task> poisonTasks = new ArrayList<>();
         for (Iterator<Task> iterator = trackedTasks.iterator(); iterator.hasNext();)
@@ -244,7 +264,7 @@
             Task task = iterator.next();
             if (task.isOnWorker() && task.observedMillis() >= CLEAR_AFTER_MILLIS)
             {
-                task.setCrashes(CrashHistory.NONE);
+                updateCrashes(task, CrashHistory.NONE, SURVIVED, effects);
             }
             boolean hasEnded = task.phase() == Task.Phase.DONE || task.step().job().state().isFinal();
             if (hasEnded || task.crashes().isEmpty())
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 
 import org.gaugehollow.job.CrashHistory;
+import org.gaugehollow.job.CrashHistory.Attribution;
+import org.gaugehollow.job.CrashHistory.Crash;
 
 /** Collects the writes and commands that follow from a change of the cell state. */
 final class Effects
@@ -50,6 +52,41 @@
     {
     }
 
+    /**
+     * A worker crash that was recorded for a task.
+     *
+     * @param task the full name of the task
+     * @param run the run number
+     * @param crash the worker and how far its crash is attributed to the task
+     * @param cause why the crash is assumed
+     * @param runMillis the run time in milliseconds
+     */
+    record RecordedCrash(String task, int run, Crash crash, String cause, long runMillis)
+    {
+        /** Returns the text of the event. */
+        String describe()
+        {
+            return "worker " + crash.worker() + ": " + crash.evidence() + ", run " + run + ": " + cause
+                    + ", running for " + runMillis + " ms";
+        }
+    }
+
+    /**
+     * A recorded crash that does not count for its task any more.
+     *
+     * @param task the full name of the task
+     * @param crash the crash as recorded
+     * @param reason why it does not count
+     */
+    record WithdrawnCrash(String task, Crash crash, String reason)
+    {
+        /** Returns the text of the event. */
+        String describe()
+        {
+            return "worker " + crash.worker() + ": " + crash.evidence() + ": " + reason;
+        }
+    }
+
     /**
      * The outcome of a copy: a run of the task has ended successfully, or the copy ended without
      * success.
@@ -74,6 +111,8 @@
     private final List<Stop> stops = new ArrayList<>();
     private final List<LostRun> lostRuns = new ArrayList<>();
     private final List<PoisonTask> poisonTasks = new ArrayList<>();
+    private final List<RecordedCrash> recordedCrashes = new ArrayList<>();
+    private final List<WithdrawnCrash> withdrawnCrashes = new ArrayList<>();
     private final List<SettledCopy> settledCopies = new ArrayList<>();
 
     /** Marks the progress of a job as changed. */
@@ -133,6 +172,35 @@
         poisonTasks.add(new PoisonTask(task.name(), task.crashes()));
     }
 
+    /** Adds a crash that was recorded for the task of a run. */
+    void addRecordedCrash(UnresponsiveRun run, TrackedWorker worker, Attribution attribution, String cause)
+    {
+        recordedCrashes.add(new RecordedCrash(run.task().name(), run.run(),
+                new Crash(worker.id(), attribution), cause, run.durationMillis()));
+    }
+
+    /** Adds the crashes of a task that its updated history does not contain any more. */
+    void addWithdrawnCrashes(Task task, CrashHistory updated, String reason)
+    {
+        for (Crash crash : task.crashes().crashes())
+        {
+            if (!updated.crashes().contains(crash))
+            {
+                withdrawnCrashes.add(new WithdrawnCrash(task.name(), crash, reason));
+            }
+        }
+    }
+
+    List<RecordedCrash> recordedCrashes()
+    {
+        return recordedCrashes;
+    }
+
+    List<WithdrawnCrash> withdrawnCrashes()
+    {
+        return withdrawnCrashes;
+    }
+
     /** Adds the outcome of a copy; the loser may have no run on a worker any more. */
     void addSettledCopy(Task loser, boolean hasWon)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -70,6 +70,7 @@
     private final CopyStatistics copyStatistics;
     private final Semaphore wakeUps = new Semaphore(0);
     private final StoppedWork stoppedWork;
+    private final LossReport lossReport;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
     private final WorkerSessions workerSessions;
@@ -82,6 +83,7 @@
     {
         this.retentionNanos = retentionNanos;
         this.stoppedWork = stoppedWork;
+        this.lossReport = new LossReport(stoppedWork, events);
         this.copyStatistics = copyStatistics;
         this.platform = platform;
         this.lease = lease;
@@ -199,6 +201,7 @@
         Effects stalls;
         Effects slowRuns;
         Effects poisoned;
+        Effects abandonments = new Effects();
         List<Effects> expired;
         List<UnresponsiveWorkerGuard.AbandonedRun> abandonedRuns;
         List<CopyPlanner.StartedCopy> copies;
@@ -216,7 +219,7 @@
             limitEarlierLeases();
             expired = releaseExpiredWorkers();
             poisoned = cellState.failPoisonTasks();
-            abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos());
+            abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos(), abandonments);
             cellState.speeds().check(SteadyClock.nanos());
             plan = planner.plan(SteadyClock.nanos(), System.currentTimeMillis());
             copies = copyPlanner.plan(plan, SteadyClock.nanos(), System.currentTimeMillis());
@@ -225,6 +228,7 @@
         }
         abandonedRuns.forEach(abandoned -> events.record(EventType.TASK_MOVED, abandoned.task(), "run "
                 + abandoned.run() + " on " + abandoned.worker() + ": abandoned, the worker is unresponsive"));
+        apply(abandonments);
         copyStatistics.recordStarted(copies, events);
         recordMovedTasks(evacuations, StoppedWork.Reason.EVACUATION, "its worker is leaving");
         recordMovedTasks(stalls, StoppedWork.Reason.STALL, "it is stalled");
@@ -232,8 +236,8 @@
         apply(evacuations);
         apply(stalls);
         apply(slowRuns);
-        expired.forEach(this::applyLoss);
-        applyLoss(poisoned);
+        expired.forEach(this::apply);
+        apply(poisoned);
         plan.preemptions().forEach(this::applyPreemption);
         sendStartsOnceWritten(plan.starts());
         reports.report(observation);
@@ -348,6 +352,7 @@
     void apply(Effects effects, Runnable onWritten)
     {
         copyStatistics.recordSettled(effects.settledCopies(), events);
+        lossReport.record(effects);
         for (Effects.Stop stop : effects.stops())
         {
             workerSessions.session(stop.worker().id()).ifPresent(session -> inBackground(stop.taskName(),
@@ -384,7 +389,7 @@
         {
             events.record(EventType.WORKER_LOST, worker.id(), cause.description());
         }
-        applyLoss(effects);
+        apply(effects);
         workerSessions.onIncarnationEnded(worker);
         wake();
     }
@@ -410,25 +415,6 @@
         lease.end("worker " + worker.id() + " received commands of a newer owner");
     }
 
-    /** Records and applies lost runs and poison tasks. */
-    private void applyLoss(Effects effects)
-    {
-        recordLostRuns(effects);
-        effects.poisonTasks().forEach(task -> events.record(EventType.TASK_GIVEN_UP, task.task(),
-                "crashed workers: " + task.crashes().crashes()));
-        apply(effects);
-    }
-
-    private void recordLostRuns(Effects effects)
-    {
-        for (Effects.LostRun run : effects.lostRuns())
-        {
-            stoppedWork.addLost(run);
-            events.record(EventType.RUN_LOST, run.task(), "run " + run.run() + " on " + run.worker() + ": "
-                    + run.cause().description() + ", observed running for " + run.observedMillis() + " ms");
-        }
-    }
-
     /** Removes the session of a worker that is unlisted, idle and unresponsive. */
     void onSessionEnded(TrackedWorker worker)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerWarmup.java
@@ -172,7 +172,7 @@
             evacuation.evacuate(now);
             stallGuard.check(now);
             slowWorkerGuard.check(now);
-            unresponsiveWorkerGuard.check(now);
+            unresponsiveWorkerGuard.check(now, new Effects());
             cellState.speeds().check(now);
             for (Planner.Start start : planner.plan(now, System.currentTimeMillis()).starts())
             {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveWorkerGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveWorkerGuard.java
@@ -41,16 +41,18 @@
     /**
      * Abandons runs on unresponsive workers.
      *
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @param effects collects the crashes that are recorded
      * @return the abandoned runs
      */
-    List<AbandonedRun> check(long nowNanos)
+    List<AbandonedRun> check(long nowNanos, Effects effects)
     {
         List<AbandonedRun> abandoned = new ArrayList<>();
         for (TrackedWorker worker : cellState.workers())
         {
             if (worker.isUnresponsiveFor(MIN_UNRESPONSIVE_NANOS, nowNanos))
             {
-                abandonRuns(worker, abandoned);
+                abandonRuns(worker, abandoned, effects);
             }
         }
         return abandoned;
@@ -60,14 +62,14 @@
      * Abandons only runs whose start was answered: a start that may still arrive must be stopped before
      * anything else is started on the worker.
      */
-    private void abandonRuns(TrackedWorker worker, List<AbandonedRun> abandoned)
+    private void abandonRuns(TrackedWorker worker, List<AbandonedRun> abandoned, Effects effects)
     {
         for (Task task : worker.tasks())
         {
             if (task.phase() == Task.Phase.RUNNING && task.allowsDuplicateRuns()
                     && cellState.crashGuard().mayAbandonRun(task, worker))
             {
-                cellState.crashGuard().onRunAbandoned(task, worker);
+                cellState.crashGuard().onRunAbandoned(task, worker, effects);
                 abandoned.add(new AbandonedRun(task.name(), task.run(), worker.id()));
                 task.abandonRun();
             }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyRunTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CopyRunTest.java
@@ -253,7 +253,7 @@
         second.unresponsive = true;
         cell.advance(100);
         cell.advance(500);
-        assertThat(guard.check(cell.clock.get())).hasSize(2);
+        assertThat(guard.check(cell.clock.get(), new Effects())).hasSize(2);
         assertThat(task.isWaiting()).isTrue();
         cell.plan();
         assertThat(task.run()).isEqualTo(3);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.gaugehollow.job.CrashHistory.Attribution;
+import org.gaugehollow.job.CrashHistory.Crash;
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobProgress;
 import org.gaugehollow.job.JobState;
@@ -182,6 +183,25 @@
         assertThat(worker.isLeaving()).isTrue();
     }
 
+    @Test
+    void reportsCrashesAndTheirWithdrawal()
+    {
+        Task task = accept();
+        TrackedWorker worker = listIncarnation();
+        startAll();
+        Effects recorded = cellState.onWorkerLost(worker, WorkerLossCause.LAPSED);
+        assertThat(recorded.recordedCrashes()).containsExactly(new Effects.RecordedCrash(TASK, 1,
+                new Crash("w1", Attribution.UNPROVEN), WorkerLossCause.LAPSED.description(), 0));
+        listIncarnation();
+        startAll();
+        advance(CrashGuard.CLEAR_AFTER_MILLIS);
+        heartbeat(task.worker(), task);
+        Effects withdrawn = cellState.failPoisonTasks();
+        assertThat(withdrawn.withdrawnCrashes()).hasSize(1);
+        assertThat(withdrawn.recordedCrashes()).isEmpty();
+        assertThat(cellState.failPoisonTasks().withdrawnCrashes()).isEmpty();
+    }
+
     /** The crash history is stored with the progress of the job. */
     @Test
     void nextOwnerRestoresCrashHistory()
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SimulatedCell.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SimulatedCell.java
@@ -216,7 +216,7 @@
             nowMillis += STEP_MILLIS;
             clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(STEP_MILLIS));
             machines.forEach(Machine::step);
-            unresponsiveWorkerGuard.check(clock.get());
+            unresponsiveWorkerGuard.check(clock.get(), new Effects());
             recordFailures(cellState.failPoisonTasks());
             planner.plan(clock.get(), nowMillis).starts().forEach(this::start);
         }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/UnresponsiveWorkerGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/UnresponsiveWorkerGuardTest.java
@@ -57,8 +57,8 @@
     private List<UnresponsiveWorkerGuard.AbandonedRun> becomeUnresponsive(TrackedWorker worker)
     {
         worker.recordMissedHeartbeat(clock.get(), false);
-        assertThat(guard.check(clock.get())).isEmpty();
-        return guard.check(clock.addAndGet(UNRESPONSIVE_NANOS));
+        assertThat(guard.check(clock.get(), new Effects())).isEmpty();
+        return guard.check(clock.addAndGet(UNRESPONSIVE_NANOS), new Effects());
     }
 
     private Effects endRun(TrackedWorker worker, Task task, int run, RunEnd outcome)
@@ -101,7 +101,7 @@
         Planner.Start start = startOf(SPECULATIVE);
         start.worker().recordMissedHeartbeat(clock.get(), false);
         start.worker().recordHeartbeat(clock.addAndGet(UNRESPONSIVE_NANOS / 2));
-        assertThat(guard.check(clock.addAndGet(UNRESPONSIVE_NANOS))).isEmpty();
+        assertThat(guard.check(clock.addAndGet(UNRESPONSIVE_NANOS), new Effects())).isEmpty();
     }
 
     @Test
