--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WaitingFirstScore;
+import org.gaugehollow.worker.RunEnd;
 import org.gaugehollow.worker.WorkerEntry;
 import org.gaugehollow.worker.WorkerIncarnation;
 import org.junit.jupiter.api.Test;
@@ -171,14 +172,19 @@
         assertThat(task.crashes().isEmpty()).isTrue();
     }
 
+    private void announceLeaving(TrackedWorker worker)
+    {
+        cellState.updateWorker(new WorkerEntry(WorkerIncarnation.parse(worker.id()), "service", "127.0.0.1:1",
+                "hall", true, 1_000, new ComputeResources(0, WORKER_CPU, 32_768, 0), Set.of(), "r"));
+    }
+
     @Test
     void unlistedDrainingWorkerIsLeaving()
     {
         accept();
         TrackedWorker worker = listIncarnation();
         startAll();
-        cellState.updateWorker(new WorkerEntry(WorkerIncarnation.parse(worker.id()), "service", "127.0.0.1:1",
-                "hall", true, 1_000, new ComputeResources(0, WORKER_CPU, 32_768, 0), Set.of(), "r"));
+        announceLeaving(worker);
         worker.clearEntry();
         assertThat(worker.isLeaving()).isTrue();
     }
@@ -249,6 +255,75 @@
         assertThat(other.isSuspect()).isFalse();
     }
 
+    /** Cuts off the only worker right after the start, until its lease expires; it remains listed. */
+    private TrackedWorker cutOffAtStart()
+    {
+        TrackedWorker worker = listIncarnation();
+        startAll();
+        Task task = cellState.findTask(TASK);
+        assertThat(task.worker()).isSameInstanceAs(worker);
+        worker.recordMissedHeartbeat(clock.get(), false);
+        cellState.onWorkerLost(worker, WorkerLossCause.LAPSED);
+        assertThat(task.crashes().crashes()).contains(new Crash(worker.id(), Attribution.UNPROVEN));
+        return worker;
+    }
+
+    /** Lets a worker that was cut off answer and report the end of its run, and then unlists it. */
+    private Effects respondAndLeave(TrackedWorker worker, int run)
+    {
+        Task task = cellState.findTask(TASK);
+        Effects effects = cellState.applyHeartbeat(worker,
+                TestJobs.heartbeatReply(List.of(), List.of(TestJobs.endedRun(1, task, run, RunEnd.LAPSED))),
+                0, clock.get());
+        worker.clearEntry();
+        cellState.trackedWorkers().removeIfIdle(worker);
+        return effects;
+    }
+
+    /** Replaces the owner by one that reads the stored progress. */
+    private Task changeOwner(Task task)
+    {
+        JobProgress progress = JobCodec.readProgress(JobCodec.writeProgress(task.step().job().progress()));
+        cellState = newCellState();
+        planner = newPlanner();
+        cellState.accept(task.step().job().record(), 1, progress, 0);
+        return cellState.findTask(TASK);
+    }
+
+    /** Guards against failing a task for workers that were cut off and answered again. */
+    @Test
+    void keepsTaskWhoseCutOffWorkersRespondBeforeTheyLeave()
+    {
+        Task task = accept();
+        for (int run = 1; run <= CrashGuard.TOTAL_CRASH_THRESHOLD; run++)
+        {
+            respondAndLeave(cutOffAtStart(), run);
+            cellState.failPoisonTasks();
+            assertThat(task.step().job().state()).isEqualTo(JobState.RUNNING);
+        }
+    }
+
+    /** Guards against failing a task for workers that were cut off and answered the next owner. */
+    @Test
+    void nextOwnerKeepsTaskWhoseCutOffWorkersRespond()
+    {
+        Task task = accept();
+        for (int i = 0; i < CrashGuard.TOTAL_CRASH_THRESHOLD; i++)
+        {
+            cutOffAtStart();
+        }
+        Task restored = changeOwner(task);
+        for (int run = 1; run <= CrashGuard.TOTAL_CRASH_THRESHOLD; run++)
+        {
+            Effects effects = respondAndLeave(cellState.updateWorker(TestJobs.worker("w" + run, WORKER_CPU)),
+                    run);
+            assertThat(effects.changedJobs()).containsExactly(restored.step().job());
+        }
+        cellState.failPoisonTasks();
+        assertThat(restored.step().job().state()).isEqualTo(JobState.RUNNING);
+        assertThat(changeOwner(restored).crashes().isEmpty()).isTrue();
+    }
+
     private void startOn(Task task, TrackedWorker worker, boolean isAnswered)
     {
         task.assign(worker, task.run() + 1, clock.get());
