CrashGuard: an answer of a worker withdraws each unproven crash that names it

Cause: evidence that is kept after it has been disproved. An unproven crash says that one incarnation may have crashed; an answer of that incarnation disproves it. But only the runs that the present owner had abandoned were looked at then. What a lapsed lease had left, and what an earlier owner had recorded, stayed; it did not count while the worker was listed, and counted once it had left. Four of them failed the job. A withdrawal was not written either, so the next owner restored what its predecessor knew to be wrong.

Change: an answered heartbeat, or a planned leave, withdraws the unproven crashes of that incarnation from all tasks, whoever recorded them, and the changed jobs are written. Proven and explained crashes stay, as do those of incarnations that never answer again, so work that crashes its workers is failed as before. A heartbeat looks through the short histories of the tasks that have one; most of the time there is none.

One run: CrashGuardTest, CrashGuardLoadTest, CrashHistoryTest, PoisonTaskTest, CopyRunTest, UnresponsiveWorkerGuardTest, RestoredCrashTest, ArchitectureTest and CatalogueTest pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/job/CrashHistory.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/CrashHistory.java
@@ -102,7 +102,18 @@
     }
 
     /**
-     * Removes a worker incarnation that turned out not to have crashed.
+     * Removes the unproven crash of a worker incarnation that turned out not to have crashed.
+     *
+     * @param worker the id of the incarnation
+     * @return the updated history, or this history if it contains no such crash
+     */
+    public CrashHistory withoutUnproven(String worker)
+    {
+        return crashes.contains(new Crash(worker, Attribution.UNPROVEN)) ? without(worker) : this;
+    }
+
+    /**
+     * Removes the crash of a worker incarnation.
      *
      * @param worker the id of the incarnation
      * @return the updated history
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -99,18 +99,26 @@
         }
     }
 
-    /** Withdraws the suspicion against the runs that were abandoned on a worker that responds again. */
+    /**
+     * Withdraws the unproven crashes of a worker that responds, including those that earlier owners
+     * recorded: an incarnation that has crashed never responds again.
+     */
     void onWorkerResponded(TrackedWorker worker, Effects effects)
     {
-        withdrawAbandoned(worker, RESPONDS, effects);
+        withdrawUnproven(worker, RESPONDS, effects);
     }
 
-    private static void withdrawAbandoned(TrackedWorker worker, String reason, Effects effects)
+    private void withdrawUnproven(TrackedWorker worker, String reason, Effects effects)
     {
-        for (UnresponsiveRun run : worker.removeAbandonedRuns())
+        worker.removeAbandonedRuns();
+        for (Task task : trackedTasks)
         {
-            Task task = run.task();
-            updateCrashes(task, task.crashes().without(worker.id()), reason, effects);
+            CrashHistory updated = task.crashes().withoutUnproven(worker.id());
+            if (!updated.equals(task.crashes()) && !task.step().job().state().isFinal())
+            {
+                updateCrashes(task, updated, reason, effects);
+                effects.markChanged(task.step().job());
+            }
         }
     }
 
@@ -129,7 +137,7 @@
                 yield List.of();
             }
             case LEFT -> {
-                withdrawAbandoned(worker, cause.description(), effects);
+                withdrawUnproven(worker, cause.description(), effects);
                 yield List.of();
             }
         };
--- a/gaugehollow/src/test/java/org/gaugehollow/job/CrashHistoryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/job/CrashHistoryTest.java
@@ -6,6 +6,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Set;
 
 import org.gaugehollow.job.CrashHistory.Attribution;
@@ -42,6 +43,17 @@
         assertThat(history.provenWorkers()).containsExactly("w1", "w3", "w4");
     }
 
+    @Test
+    void withoutUnprovenKeepsOtherAttributions()
+    {
+        assertThat(history.withoutUnproven("w2").crashes())
+                .containsExactlyElementsIn(history.without("w2").crashes());
+        for (String worker : List.of("w1", "w3", "w4", "w5"))
+        {
+            assertThat(history.withoutUnproven(worker)).isSameInstanceAs(history);
+        }
+    }
+
     @Test
     void withoutRemovesTheWorker()
     {
