CrashGuard: a new owner counts no restored unproven crash before it has read the list of workers

What callers would see: a job is failed in the first moment of a new owner, for workers that are cut off but listed.

Cause: an unproven crash counts if its worker is not listed, and until the first listing no worker is listed for a new owner. It may plan from when the jobs are read; the workers are read after that.

Change: restored unproven crashes count from the first complete listing of the term on. Proven ones count at once.

On newOwnerCountsNoUnprovenCrashBeforeItHasReadTheWorkers failed:

CrashGuardTest:338 expected: RUNNING but was : FAILED

It passes, with the check that workers which are gone by that listing do count.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -61,6 +61,8 @@
     private final RecentCrashes recentCrashes;
     /** Tasks with a crash history, until they are cleared or their jobs end. */
     private final Set<Task> trackedTasks = new LinkedHashSet<>();
+    /** Whether crashes were restored that may name workers which this owner has not read yet. */
+    private boolean awaitsWorkers;
 
     CrashGuard(TrackedWorkers workers)
     {
@@ -73,10 +75,17 @@
     {
         if (!task.crashes().isEmpty())
         {
+            awaitsWorkers = true;
             trackedTasks.add(task);
         }
     }
 
+    /** Handles a complete listing of the workers. */
+    void onWorkersListed()
+    {
+        awaitsWorkers = false;
+    }
+
     /**
      * Returns whether a run on an unresponsive worker may be abandoned in favour of another run. A task
      * may have only one unproven crash at a time.
@@ -236,12 +245,12 @@
 
     /**
      * Returns whether a crash counts towards the total. An unproven crash does not count while the
-     * worker is listed, since the worker may only be unreachable.
+     * worker is or may be listed, since the worker may only be unreachable.
      */
     private boolean countsAsCrash(Crash crash)
     {
         boolean isListed = workers.find(crash.worker()).map(worker -> worker.entry() != null).orElse(false);
-        return crash.evidence() != Attribution.UNPROVEN || !isListed;
+        return crash.evidence() != Attribution.UNPROVEN || !isListed && !awaitsWorkers;
     }
 
     /** Marks the crashes of a confirmed poison task as explained for all other tasks. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSessions.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSessions.java
@@ -219,6 +219,10 @@
     @Override
     public void onListed(long revision)
     {
+        synchronized (term.cellState())
+        {
+            term.cellState().crashGuard().onWorkersListed();
+        }
         sessions.forEach((incarnation, session) ->
         {
             if (session.isHung())
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -324,6 +324,23 @@
         assertThat(changeOwner(restored).crashes().isEmpty()).isTrue();
     }
 
+    /** Guards against counting unresponsive workers as gone that the new owner has not read yet. */
+    @Test
+    void newOwnerCountsNoUnprovenCrashBeforeItHasReadTheWorkers()
+    {
+        Task task = accept();
+        for (int i = 0; i < CrashGuard.TOTAL_CRASH_THRESHOLD; i++)
+        {
+            cutOffAtStart();
+        }
+        Task restored = changeOwner(task);
+        cellState.failPoisonTasks();
+        assertThat(restored.step().job().state()).isEqualTo(JobState.RUNNING);
+        cellState.crashGuard().onWorkersListed();
+        cellState.failPoisonTasks();
+        assertThat(restored.step().job().state()).isEqualTo(JobState.FAILED);
+    }
+
     private void startOn(Task task, TrackedWorker worker, boolean isAnswered)
     {
         task.assign(worker, task.run() + 1, clock.get());
