CrashGuard: the lapse of a leaving worker is no crash

What callers would see: a job is failed after four of its starts met workers that had announced that they leave.

Cause: a worker that announced its leave and became unresponsive before its successor answered counted as one that may have crashed, although leaving workers prove nothing (docs/PLATFORM.md, "Poison tasks"). Only the case in which another incarnation answers looked at the announcement.

Change: the expiry of a leaving worker's lease suspects nothing, and withdraws what was recorded when its runs were abandoned.

On keepsTaskWhoseLeavingWorkersExpire failed:

CrashGuardTest:353 expected: RUNNING but was : FAILED

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -55,6 +55,7 @@
 
     private static final String ABANDONED = "abandoned, the worker is unresponsive";
     private static final String RESPONDS = "the worker responds again";
+    private static final String LEAVING = "the worker had announced that it leaves";
     private static final String SURVIVED = "a run has survived long enough";
 
     private final TrackedWorkers workers;
@@ -184,8 +185,14 @@
         return poisonTasks;
     }
 
+    /** Suspects the runs that had just started; a leaving worker is expected to become unresponsive. */
     private void handleLeaseExpired(TrackedWorker worker, Effects effects)
     {
+        if (worker.isLeaving())
+        {
+            withdrawUnproven(worker, LEAVING, effects);
+            return;
+        }
         possiblyStartedRuns(worker).stream().filter(UnresponsiveRun::hadJustStarted)
                 .forEach(run -> recordCrash(run, worker, Attribution.UNPROVEN,
                         WorkerLossCause.LAPSED.description(), effects));
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -341,6 +341,22 @@
         assertThat(restored.step().job().state()).isEqualTo(JobState.FAILED);
     }
 
+    /** Guards against suspecting a task because workers left as announced. */
+    @Test
+    void keepsTaskWhoseLeavingWorkersExpire()
+    {
+        Task task = accept();
+        for (int i = 0; i < CrashGuard.TOTAL_CRASH_THRESHOLD; i++)
+        {
+            TrackedWorker worker = listIncarnation();
+            startAll();
+            announceLeaving(worker);
+            loseWorker(worker, WorkerLossCause.LAPSED);
+            cellState.failPoisonTasks();
+            assertThat(task.step().job().state()).isEqualTo(JobState.RUNNING);
+        }
+    }
+
     private void startOn(Task task, TrackedWorker worker, boolean isAnswered)
     {
         task.assign(worker, task.run() + 1, clock.get());
