CrashGuard: a cleared or explained crash history is written

What callers would see: a task that has survived long enough, or a neighbour of a task that was failed, counts as a suspect again after a change of owner, and is failed sooner than it may be.

Cause: evidence that is kept after it has been disproved, here in the stored progress. A history that was cleared, or of which crashes were explained, was changed in memory; the job was not written for that.

Change: each removal of crashes goes through one function, which marks the job as changed. Ended jobs are left alone, since they may have been dropped.

Evidence: on both tests failed:

clearedHistoryIsStored:367 missing (1): Job; expected: [Job] but was: [] explainedCrashIsStored:383 expected to contain: Job@ but was: [Job@]

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -123,12 +123,7 @@
         worker.removeAbandonedRuns();
         for (Task task : trackedTasks)
         {
-            CrashHistory updated = task.crashes().withoutUnproven(worker.id());
-            if (!updated.equals(task.crashes()) && !task.step().job().state().isFinal())
-            {
-                updateCrashes(task, updated, reason, effects);
-                effects.markChanged(task.step().job());
-            }
+            updateCrashes(task, task.crashes().withoutUnproven(worker.id()), reason, effects);
         }
     }
 
@@ -217,11 +212,20 @@
         }
     }
 
-    /** Sets a history from which crashes were removed. */
+    /**
+     * Sets a history from which crashes were removed. The job is written, so that the next owner does
+     * not restore them; a job that has ended may have been dropped.
+     */
     private static void updateCrashes(Task task, CrashHistory updated, String reason, Effects effects)
     {
+        Job job = task.step().job();
+        if (updated.equals(task.crashes()) || job.state().isFinal())
+        {
+            return;
+        }
         effects.addWithdrawnCrashes(task, updated, reason);
         task.setCrashes(updated);
+        effects.markChanged(job);
     }
 
     /**
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -357,6 +357,35 @@
         }
     }
 
+    /** Guards against a next owner that restores a history that was cleared. */
+    @Test
+    void clearedHistoryIsStored()
+    {
+        Task task = accept();
+        startAndLoseWorker(WorkerLossCause.CRASHED, 0);
+        listIncarnation();
+        startAll();
+        advance(CrashGuard.CLEAR_AFTER_MILLIS);
+        heartbeat(task.worker(), task);
+        assertThat(cellState.failPoisonTasks().changedJobs()).containsExactly(task.step().job());
+    }
+
+    /** Guards against a next owner that suspects the neighbours of a task that was failed. */
+    @Test
+    void explainedCrashIsStored()
+    {
+        accept();
+        cellState.accept(TestJobs.job("00000000000000bb", TestJobs.step(1, 1_000, List.of())), 1, null, 0);
+        Task neighbour = cellState.findTask("00000000000000bb.0.0.0");
+        startAndLoseWorker(WorkerLossCause.CRASHED, 0);
+        TrackedWorker worker = listIncarnation();
+        startAll();
+        Task isolated = worker.tasks().getFirst();
+        Task other = isolated == neighbour ? cellState.findTask(TASK) : neighbour;
+        Effects effects = loseWorker(worker, WorkerLossCause.CRASHED);
+        assertThat(effects.changedJobs()).contains(other.step().job());
+    }
+
     private void startOn(Task task, TrackedWorker worker, boolean isAnswered)
     {
         task.assign(worker, task.run() + 1, clock.get());
