--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -55,12 +55,15 @@
 
     private static final String ABANDONED = "abandoned, the worker is unresponsive";
     private static final String RESPONDS = "the worker responds again";
+    private static final String LEAVING = "the worker had announced that it leaves";
     private static final String SURVIVED = "a run has survived long enough";
 
     private final TrackedWorkers workers;
     private final RecentCrashes recentCrashes;
     /** Tasks with a crash history, until they are cleared or their jobs end. */
     private final Set<Task> trackedTasks = new LinkedHashSet<>();
+    /** Whether crashes were restored that may name workers which this owner has not read yet. */
+    private boolean awaitsWorkers;
 
     CrashGuard(TrackedWorkers workers)
     {
@@ -73,10 +76,17 @@
     {
         if (!task.crashes().isEmpty())
         {
+            awaitsWorkers = true;
             trackedTasks.add(task);
         }
     }
 
+    /** Handles a complete listing of the workers. */
+    void onWorkersListed()
+    {
+        awaitsWorkers = false;
+    }
+
     /**
      * Returns whether a run on an unresponsive worker may be abandoned in favour of another run. A task
      * may have only one unproven crash at a time.
@@ -113,12 +123,7 @@
         worker.removeAbandonedRuns();
         for (Task task : trackedTasks)
         {
-            CrashHistory updated = task.crashes().withoutUnproven(worker.id());
-            if (!updated.equals(task.crashes()) && !task.step().job().state().isFinal())
-            {
-                updateCrashes(task, updated, reason, effects);
-                effects.markChanged(task.step().job());
-            }
+            updateCrashes(task, task.crashes().withoutUnproven(worker.id()), reason, effects);
         }
     }
 
@@ -175,8 +180,14 @@
         return poisonTasks;
     }
 
+    /** Suspects the runs that had just started; a leaving worker is expected to become unresponsive. */
     private void handleLeaseExpired(TrackedWorker worker, Effects effects)
     {
+        if (worker.isLeaving())
+        {
+            withdrawUnproven(worker, LEAVING, effects);
+            return;
+        }
         possiblyStartedRuns(worker).stream().filter(UnresponsiveRun::hadJustStarted)
                 .forEach(run -> recordCrash(run, worker, Attribution.UNPROVEN,
                         WorkerLossCause.LAPSED.description(), effects));
@@ -201,11 +212,20 @@
         }
     }
 
-    /** Sets a history from which crashes were removed. */
+    /**
+     * Sets a history from which crashes were removed. The job is written, so that the next owner does
+     * not restore them; a job that has ended may have been dropped.
+     */
     private static void updateCrashes(Task task, CrashHistory updated, String reason, Effects effects)
     {
+        Job job = task.step().job();
+        if (updated.equals(task.crashes()) || job.state().isFinal())
+        {
+            return;
+        }
         effects.addWithdrawnCrashes(task, updated, reason);
         task.setCrashes(updated);
+        effects.markChanged(job);
     }
 
     /**
@@ -236,12 +256,12 @@
 
     /**
      * Returns whether a crash counts towards the total. An unproven crash does not count while the
-     * worker is listed, since the worker may only be unreachable.
+     * worker is or may be listed, since the worker may only be unreachable.
      */
     private boolean countsAsCrash(Crash crash)
     {
         boolean isListed = workers.find(crash.worker()).map(worker -> worker.entry() != null).orElse(false);
-        return crash.evidence() != Attribution.UNPROVEN || !isListed;
+        return crash.evidence() != Attribution.UNPROVEN || !isListed && !awaitsWorkers;
     }
 
     /** Marks the crashes of a confirmed poison task as explained for all other tasks. */
