PeerTermProbe: a process proves the end of an owner from when it listens, not from when it started

The time is now taken once the address is bound, and a process that doesn't listen yet proves nothing; the class tells what the argument rests on, an address that belongs to one machine.

processThatDoesNotListenYetProvesNothing guards against it; it can't be written against the code of before, which has no such state.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -110,12 +110,11 @@
      * Starts a box.
      *
      * @param settings validated settings
-     * @param startNanos time of the {@link SteadyClock} at which the process had started
      * @param openPlatform opens the platform
      * @param serviceFactory creates the service for callers
      */
-    public JobBox(JobBoxSettings settings, long startNanos,
-            Function<PlatformContext, CellPlatform> openPlatform, CallerServiceFactory serviceFactory)
+    public JobBox(JobBoxSettings settings, Function<PlatformContext, CellPlatform> openPlatform,
+            CallerServiceFactory serviceFactory)
     {
         this.settings = settings;
         this.id = settings.box() + '~' + UUID.randomUUID().toString().substring(0, ID_SUFFIX_LENGTH);
@@ -130,7 +129,7 @@
         this.configProbe = new ConfigProbe(store, platform.configKey(), config);
         this.peerDirectory = new PeerDirectory(loops, events, metrics);
         AdviceDispatcher adviceDispatcher = new AdviceDispatcher(platform.advice(), events);
-        this.termProbe = new PeerTermProbe(id, settings.peerAddress(), startNanos, peerDirectory);
+        this.termProbe = new PeerTermProbe(id, settings.peerAddress(), peerDirectory);
         this.registry = new BoxRegistry(id,
                 new BoxRegistry.Entry(settings.peerAddress(), settings.processorMillis()), store,
                 peerDirectory, termProbe, adviceDispatcher, events);
@@ -145,6 +144,7 @@
         CallerService service = new FreshConfigService(serviceFactory.create(config, intake), configProbe);
         this.peerServer = new PeerServer(loops, NetAddress.parse(settings.peerAddress()), events,
                 call -> handlePeerCall(call, service));
+        termProbe.onListening();
         StorePeerFinder storePeers = new StorePeerFinder(registry::peers, new PeerStoreProbe(registry),
                 SteadyClock::nanos);
         this.callerServer = startServer(settings.callerAddress(), new CallerRelay(service,
--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerTermProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerTermProbe.java
@@ -19,9 +19,9 @@
 
 /**
  * Asks the process at the address of an earlier owner whether that owner's term is over, and
- * answers such questions. If another process listens there, the owner has ended: two processes
- * can't listen at one address, and the question is asked after the term began. So the owner had
- * ended before that process started.
+ * answers such questions. If another process listens there, the owner has ended: an address belongs
+ * to one machine, on which two processes can't listen there, and the question is asked after the
+ * term began. So the owner had ended before that process began to listen.
  */
 final class PeerTermProbe
 {
@@ -31,23 +31,28 @@
 
     private final String box;
     private final String ownAddress;
-    private final long startNanos;
     private final PeerDirectory directory;
+    /** Monotonic time since which this process listens at its address, empty before. */
+    private volatile OptionalLong listeningNanos = OptionalLong.empty();
 
     /**
      * @param box id of this box
      * @param ownAddress address at which this box listens for calls of other boxes
-     * @param startNanos monotonic time at which this process had started
      * @param directory links to other boxes
      */
-    PeerTermProbe(String box, String ownAddress, long startNanos, PeerDirectory directory)
+    PeerTermProbe(String box, String ownAddress, PeerDirectory directory)
     {
         this.box = box;
         this.ownAddress = ownAddress;
-        this.startNanos = startNanos;
         this.directory = directory;
     }
 
+    /** Records that this process listens at its address from now on. */
+    void onListening()
+    {
+        listeningNanos = OptionalLong.of(SteadyClock.nanos());
+    }
+
     /**
      * Returns the monotonic time since which no commands of a term are sent, or empty if that isn't
      * known. The term must be one that another term has replaced.
@@ -57,7 +62,7 @@
         if (term.address().equals(ownAddress))
         {
             // A box serves one term at a time.
-            return OptionalLong.of(term.box().equals(box) ? SteadyClock.nanos() : startNanos);
+            return term.box().equals(box) ? OptionalLong.of(SteadyClock.nanos()) : listeningNanos;
         }
         TermCall call = TermCall.newBuilder().setOwner(term.box()).setFence(term.fence()).build();
         try
@@ -88,14 +93,15 @@
     Frame.Builder handle(TermCall call, LongPredicate endReplacedTerm)
     {
         TermReply.Builder reply = TermReply.newBuilder();
+        OptionalLong listening = listeningNanos;
         if (call.getOwner().equals(box))
         {
             reply.setEnded(endReplacedTerm.test(call.getFence()));
         }
-        else
+        else if (listening.isPresent())
         {
-            reply.setEnded(true)
-                    .setEndedMillis(TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - startNanos));
+            long listeningMillis = TimeUnit.NANOSECONDS.toMillis(SteadyClock.nanos() - listening.getAsLong());
+            reply.setEnded(true).setEndedMillis(listeningMillis);
         }
         return Frame.newBuilder().setTermReply(reply);
     }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -40,7 +40,7 @@
     private final PeerDirectory directory = new PeerDirectory(loops, events, new Metrics());
     private final AdviceDispatcher adviceDispatcher = new AdviceDispatcher(
             (step, workers, timeout) -> new Advice(List.of(), 0), events);
-    private final PeerTermProbe termProbe = new PeerTermProbe("self", "127.0.0.1:2", 0, directory);
+    private final PeerTermProbe termProbe = new PeerTermProbe("self", "127.0.0.1:2", directory);
     private final BoxRegistry registry = new BoxRegistry("self", new BoxRegistry.Entry("127.0.0.1:2", 700),
             new FakeStore(), directory, termProbe, adviceDispatcher, events);
 
--- a/gaugehollow/src/test/java/org/gaugehollow/box/PeerTermProbeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerTermProbeTest.java
@@ -28,14 +28,14 @@
 {
     private static final long FENCE = 7;
     private static final String UNUSED_ADDRESS = "127.0.0.1:1";
-    private static final long AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final long TOLERANCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Time for which a process has listened when it is asked. */
+    private static final long LISTENING_MILLIS = 1_000;
+    private static final long TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(LISTENING_MILLIS / 2);
 
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
     private final NetLoops loops = new NetLoops(Optional.empty());
     private final PeerDirectory directory = new PeerDirectory(loops, events, new Metrics());
-    private final long startNanos = SteadyClock.nanos() - AGE_NANOS;
-    private final PeerTermProbe probe = new PeerTermProbe("b~1", UNUSED_ADDRESS, startNanos, directory);
+    private final PeerTermProbe probe = new PeerTermProbe("b~1", UNUSED_ADDRESS, directory);
     private PeerServer server;
 
     @AfterEach
@@ -50,25 +50,45 @@
     }
 
     /** Starts a box that answers whether it has ended the term in question. */
-    private String listen(String box, boolean endsTerm)
+    private String listen(PeerTermProbe listening, boolean endsTerm)
     {
-        PeerTermProbe listening = new PeerTermProbe(box, "", startNanos, directory);
         server = new PeerServer(loops, new InetSocketAddress("127.0.0.1", 0), events,
                 call -> listening.handle(call.getTerm(), fence -> fence == FENCE && endsTerm));
         return NetAddress.format(server.address());
     }
 
+    private String listen(String box, boolean endsTerm)
+    {
+        return listen(new PeerTermProbe(box, "", directory), endsTerm);
+    }
+
     private OptionalLong endNanos(String box, String address) throws InterruptedException
     {
         return probe.endNanos(new PreviousTerm(FENCE, box, address, 0));
     }
 
     @Test
-    void otherProcessAtItsAddressProvesThatAnOwnerEndedBeforeItStarted() throws InterruptedException
+    void otherProcessAtItsAddressProvesThatAnOwnerEndedBeforeItListened() throws InterruptedException
+    {
+        PeerTermProbe other = new PeerTermProbe("a~2", "", directory);
+        String address = listen(other, false);
+        assertThat(endNanos("a~1", address)).isEqualTo(OptionalLong.empty());
+        long listeningNanos = SteadyClock.nanos();
+        other.onListening();
+        Thread.sleep(LISTENING_MILLIS);
+        long endNanos = endNanos("a~1", address).orElseThrow();
+        assertThat(endNanos).isAtLeast(listeningNanos);
+        assertThat(endNanos).isLessThan(listeningNanos + TOLERANCE_NANOS);
+    }
+
+    /**
+     * Guards against two runs of a task, because an owner counts as ended while its successor starts.
+     */
+    @Test
+    void processThatDoesNotListenYetProvesNothing() throws InterruptedException
     {
-        long endNanos = endNanos("a~1", listen("a~2", false)).orElseThrow();
-        assertThat(endNanos).isAtLeast(startNanos);
-        assertThat(endNanos).isLessThan(startNanos + TOLERANCE_NANOS);
+        assertThat(endNanos("a~1", listen("a~2", false))).isEqualTo(OptionalLong.empty());
+        assertThat(endNanos("a~1", UNUSED_ADDRESS)).isEqualTo(OptionalLong.empty());
     }
 
     @Test
@@ -98,8 +118,9 @@
     @Test
     void thisProcessIsProofAtItsOwnAddress() throws InterruptedException
     {
-        assertThat(endNanos("a~1", UNUSED_ADDRESS)).isEqualTo(OptionalLong.of(startNanos));
         long beforeNanos = SteadyClock.nanos();
+        probe.onListening();
+        assertThat(endNanos("a~1", UNUSED_ADDRESS).orElseThrow()).isAtLeast(beforeNanos);
         assertThat(endNanos("b~1", UNUSED_ADDRESS).orElseThrow()).isAtLeast(beforeNanos);
     }
 }
