CrashGuard: the lapse of a run that no worker has reported since a change of owner suspects nothing

Cause: a restored run counts from the begin of the new term, so a worker that never answers the new owner looks like one that was lost right after the start.

Change: the expiry of such a lease records nothing. A worker whose next incarnation answers has crashed, and counts as before, so a task that crashes its workers is still found while owners change (PoisonTaskTest.failsPoisonTaskAcross...).

Evidence: keepsTaskWhoseWorkersAreLostWithTheirOwners failed before (expected: RUNNING but was: FAILED) and passes; CrashGuard*Test, PoisonTaskTest, CopyRunTest, RestoredCrashTest pass. A first form that left out crashes as well failed failsPoisonTaskAcrossOwnerChanges (6 starts, at most 5) and was dropped.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CrashGuard.java
@@ -180,7 +180,11 @@
         return poisonTasks;
     }
 
-    /** Suspects the runs that had just started; a leaving worker is expected to become unresponsive. */
+    /**
+     * Suspects the runs that had just started. A leaving worker is expected to become unresponsive, and
+     * of a run that no worker has reported since a change of owner nobody knows whether it had just
+     * started.
+     */
     private void handleLeaseExpired(TrackedWorker worker, Effects effects)
     {
         if (worker.isLeaving())
@@ -189,8 +193,8 @@
             return;
         }
         possiblyStartedRuns(worker).stream().filter(UnresponsiveRun::hadJustStarted)
-                .forEach(run -> recordCrash(run, worker, Attribution.UNPROVEN,
-                        WorkerLossCause.LAPSED.description(), effects));
+                .filter(run -> !run.restoredUnseen()).forEach(run -> recordCrash(run, worker,
+                        Attribution.UNPROVEN, WorkerLossCause.LAPSED.description(), effects));
     }
 
     /** Returns the runs that may have started on a worker and were not abandoned. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunState.java
@@ -51,6 +51,8 @@
     /** Time at which the latest start was sent first. Only valid if {@link #mayHaveStarted} holds. */
     private long sentNanos;
     private boolean hasStarted;
+    /** Whether a previous owner recorded the run, and no worker has reported it to this owner. */
+    private boolean restoredUnseen;
 
     RunState(Step step)
     {
@@ -78,6 +80,7 @@
         speedLimitDelivery.reset();
         mayHaveStarted = false;
         hasStarted = false;
+        restoredUnseen = false;
     }
 
     /** Marks the run as recorded by a previous owner: the next heartbeat shows whether it exists. */
@@ -86,6 +89,7 @@
         runSpeed.markResumed();
         markSent(nowNanos);
         settledNanos = Long.MIN_VALUE;
+        restoredUnseen = true;
         speedLimitDelivery.markUnknown();
     }
 
@@ -104,6 +108,7 @@
         mayHaveStarted = other.mayHaveStarted;
         sentNanos = other.sentNanos;
         hasStarted = other.hasStarted;
+        restoredUnseen = other.restoredUnseen;
     }
 
     /** Takes the progress of another object's run that has ended and is not used any more. */
@@ -165,6 +170,7 @@
             phase = Phase.RUNNING;
             mayHaveStarted = true;
             hasStarted = true;
+            restoredUnseen = false;
             observation.onStarted(nowNanos);
         }
     }
@@ -232,6 +238,14 @@
         return mayHaveStarted;
     }
 
+    /**
+     * Returns whether a previous owner recorded the run, and no worker has reported it to this owner.
+     */
+    boolean isRestoredUnseen()
+    {
+        return restoredUnseen;
+    }
+
     /** Returns whether the worker is known to have started the latest run. */
     boolean hasStarted()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveRun.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/UnresponsiveRun.java
@@ -12,10 +12,11 @@
  * @param task the task, which may have another run elsewhere
  * @param run the run number
  * @param hasStarted whether the worker is known to have started the run
+ * @param restoredUnseen whether no worker has reported the run since a change of owner
  * @param durationMillis run time in milliseconds until the connection to the worker was lost, or
  *            the observed run time if no connection was lost
  */
-record UnresponsiveRun(Task task, int run, boolean hasStarted, long durationMillis)
+record UnresponsiveRun(Task task, int run, boolean hasStarted, boolean restoredUnseen, long durationMillis)
 {
     /** Creates a record of the newest run of a task, or of its copy, on a worker. */
     static UnresponsiveRun of(Task task, TrackedWorker worker)
@@ -23,7 +24,7 @@
         long elapsedMillis = worker.hasLostConnection()
                 ? task.millisSinceStart(worker.unresponsiveSinceNanos())
                 : task.observedMillis();
-        return new UnresponsiveRun(task.task(), task.run(), task.hasStarted(),
+        return new UnresponsiveRun(task.task(), task.run(), task.hasStarted(), task.isRestoredUnseen(),
                 Math.max(elapsedMillis, task.observedMillis()));
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/CrashGuardTest.java
@@ -303,6 +303,27 @@
         }
     }
 
+    /**
+     * Guards against failing a task at work, because each next owner takes its run for just started.
+     */
+    @Test
+    void keepsTaskWhoseWorkersAreLostWithTheirOwners()
+    {
+        Task task = accept();
+        for (int i = 0; i < CrashGuard.TOTAL_CRASH_THRESHOLD; i++)
+        {
+            TrackedWorker worker = listIncarnation();
+            startAll();
+            advance(CrashGuard.CLEAR_AFTER_MILLIS / 2);
+            heartbeat(worker, task);
+            task = changeOwner(task);
+            cellState.onWorkerLost(task.worker(), WorkerLossCause.LAPSED);
+            cellState.crashGuard().onWorkersListed();
+        }
+        cellState.failPoisonTasks();
+        assertThat(task.step().job().state()).isEqualTo(JobState.RUNNING);
+    }
+
     /** Guards against failing a task for workers that were cut off and answered the next owner. */
     @Test
     void nextOwnerKeepsTaskWhoseCutOffWorkersRespond()
