AdvicePrefetch: advice for tasks of lost workers is requested before they are released

Cause: advice was requested for waiting tasks and for steps whose predecessors end soon, so for tasks on an unresponsive worker not before they were released, although that time is known.

Change: steps with tasks on workers that don't answer are prefetched like those that begin soon, by the same window, limit and budget, from the time at which the tasks will be released (TrackedWorker.releaseNanos). The call is sized by the tasks released before its tickets expire (AdviceDemand) and is always one that is made ahead, so it takes a channel only if urgent calls can spare it. A call for waiting tasks is made for these alone, as before. While all workers answer, no step is chosen; when the worker answers again before a call is sent, it isn't sent.

With the call sized by waiting tasks, callAsksAboutEnoughWorkersForTasksOfLostWorkers fails (at least 48 expected, 30 asked). The tests of the schedule package, PrefetchWindowTest, ArchitectureTest and CatalogueTest passed (356).

AdviceCandidatesTest and SpeedMonitorTest pass the number of waiting tasks, which AdviceCandidates took itself before.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceBudget.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceBudget.java
@@ -54,9 +54,20 @@
      * share.
      */
     boolean acquireForPrefetch(Step step)
+    {
+        return acquireForPrefetch(step, step.waitingTasks().size());
+    }
+
+    /**
+     * Returns whether a step may request advice before its tasks can start, and consumes its share.
+     *
+     * @param step the step
+     * @param taskCount the number of its tasks that start later
+     */
+    boolean acquireForPrefetch(Step step, int taskCount)
     {
         boolean fits = capacity.fits(step.needs());
-        capacity = fits ? capacity.minusClamped(waitingNeeds(step)) : capacity;
+        capacity = fits ? capacity.minusClamped(step.needs().times(taskCount)) : capacity;
         return fits;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCache.java
@@ -169,7 +169,7 @@
 
     private static AdviceDispatcher.Need needOf(Step step)
     {
-        if (!step.job().isReady(step))
+        if (!step.job().isReady(step) || !step.hasWaiting())
         {
             return AdviceDispatcher.Need.AHEAD;
         }
@@ -191,7 +191,8 @@
                 workers.add(worker);
             }
         }
-        return new AdviceCandidates(step, advice.allowed.keySet()).choose(workers);
+        int taskCount = AdviceDemand.countTasks(step, SteadyClock.nanos());
+        return new AdviceCandidates(step, taskCount, advice.allowed.keySet()).choose(workers);
     }
 
     private void requestAdvice(Step step, StepAdvice advice, List<TrackedWorker> workers,
@@ -234,7 +235,8 @@
     {
         synchronized (cellState)
         {
-            return !closed && !step.job().state().isFinal() && step.hasWaiting();
+            return !closed && !step.job().state().isFinal()
+                    && AdviceDemand.countTasks(step, SteadyClock.nanos()) > 0;
         }
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/AdviceCandidates.java
@@ -15,8 +15,8 @@
 /**
  * Selects the workers for an advice call. Workers with free capacity come first, among them those
  * that are fast enough for the step, the slowest of these first, in an order specific to the step
- * so that concurrent calls spread over different workers. The number is limited to what the waiting
- * tasks are expected to need, because long calls would delay steps beyond their objective. In a
+ * so that concurrent calls spread over different workers. The number is limited to what the tasks
+ * to start are expected to need, because long calls would delay steps beyond their objective. In a
  * busy cell, in which few workers have free capacity, most of the reply to a call for arbitrary
  * workers would also be useless.
  */
@@ -35,17 +35,20 @@
     private static final double CONTENTION_FACTOR = 1.5;
 
     private final Step step;
+    private final int taskCount;
     private final Set<String> allowedWorkers;
 
     /**
      * Creates the selection for a step.
      *
      * @param step the step
+     * @param taskCount the number of its tasks to start
      * @param allowedWorkers the ids of workers that are known to be allowed for it
      */
-    AdviceCandidates(Step step, Set<String> allowedWorkers)
+    AdviceCandidates(Step step, int taskCount, Set<String> allowedWorkers)
     {
         this.step = step;
+        this.taskCount = taskCount;
         this.allowedWorkers = allowedWorkers;
     }
 
@@ -81,7 +84,7 @@
 
     private List<TrackedWorker> selectEnough(List<Candidate> candidates)
     {
-        double wanted = step.waitingTasks().size() * CONTENTION_FACTOR;
+        double wanted = taskCount * CONTENTION_FACTOR;
         double expected = 0;
         List<TrackedWorker> chosen = new ArrayList<>();
         for (Candidate candidate : candidates)
@@ -110,7 +113,7 @@
     private int taskCapacity(TrackedWorker worker)
     {
         ComputeResources needs = step.needs();
-        int limit = step.spec().antiAffinity() > 0 ? step.spec().antiAffinity() : step.waitingTasks().size();
+        int limit = step.spec().antiAffinity() > 0 ? step.spec().antiAffinity() : taskCount;
         int count = 0;
         while (count < limit && worker.free().fits(needs.times(count + 1)))
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -262,7 +262,7 @@
         List<Effects> allEffects = new ArrayList<>();
         for (TrackedWorker worker : cellState.trackedWorkers().withExpiredLease())
         {
-            if (SteadyClock.nanos() - worker.leaseEndNanos() > RUN_END_MARGIN_NANOS)
+            if (SteadyClock.nanos() - worker.releaseNanos() > 0)
             {
                 events.record(EventType.WORKER_LOST, worker.id(),
                         WorkerLossCause.LAPSED.description() + " with " + worker.tasks().size() + " runs");
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -169,6 +169,12 @@
         return phase() == Phase.WAITING && copy == null;
     }
 
+    /** Returns whether the task waits for a start once its run has ended without completing it. */
+    boolean waitsOnceReleased()
+    {
+        return isOnWorker() && copy == null && !isCopy() && !hasSucceeded();
+    }
+
     /** Returns whether a run ended successfully, even if another one still has to be stopped. */
     boolean hasSucceeded()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
@@ -208,6 +208,15 @@
         return leaseEndNanos;
     }
 
+    /**
+     * Returns the monotonic time after which the tasks of the worker are released if it doesn't answer
+     * before.
+     */
+    long releaseNanos()
+    {
+        return leaseEndNanos + OwnerTerm.RUN_END_MARGIN_NANOS;
+    }
+
     void setEntry(WorkerEntry newEntry, long nowNanos)
     {
         entry = newEntry;
--- a/gaugehollow/src/main/java/org/gaugehollow/urgency/PrefetchWindow.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/urgency/PrefetchWindow.java
@@ -5,8 +5,9 @@
 package org.gaugehollow.urgency;
 
 /**
- * When to request advice for a step whose predecessors still run. Answers slow advice: a step that
- * is asked about only when it is due waits for a whole call.
+ * When to request advice for a step whose predecessors still run, or whose tasks are on lost
+ * workers. Answers slow advice: a step that is asked about only when it is due waits for a whole
+ * call.
  */
 public final class PrefetchWindow
 {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceCandidatesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/AdviceCandidatesTest.java
@@ -48,8 +48,8 @@
 
     private List<String> choose(Step step, Set<String> allowedWorkers)
     {
-        return new AdviceCandidates(step, allowedWorkers).choose(cellState.workers()).stream()
-                .map(TrackedWorker::id).toList();
+        return new AdviceCandidates(step, step.waitingTasks().size(), allowedWorkers)
+                .choose(cellState.workers()).stream().map(TrackedWorker::id).toList();
     }
 
     private static boolean hasCapacity(String worker)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/SpeedMonitorTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/SpeedMonitorTest.java
@@ -295,12 +295,13 @@
         SpeedNeeds needs = new SpeedNeeds(cellState.speeds());
         needs.beginRound(workers);
         step.setSpeedFit(needs.fit(step, 0));
-        List<TrackedWorker> chosen = new AdviceCandidates(step, Set.of()).choose(workers);
+        List<TrackedWorker> chosen = new AdviceCandidates(step, step.waitingTasks().size(), Set.of())
+                .choose(workers);
         assertThat(chosen.subList(FIRST_SLOW, WORKERS))
                 .containsExactlyElementsIn(workers.subList(FIRST_SLOW, WORKERS));
         Step lasting = accept(spec(false, false, null, true, false));
         lasting.setSpeedFit(needs.fit(lasting, 0));
-        assertThat(new AdviceCandidates(lasting, Set.of()).choose(workers).subList(0, 2))
-                .containsExactlyElementsIn(workers.subList(FIRST_SLOW, WORKERS));
+        assertThat(new AdviceCandidates(lasting, lasting.waitingTasks().size(), Set.of()).choose(workers)
+                .subList(0, 2)).containsExactlyElementsIn(workers.subList(FIRST_SLOW, WORKERS));
     }
 }
