EarlierLeases: what the previous owner told of terms before it counts from its end, and is written once less is known

EarlierLeasesTest.waitForOwnersBeforeThePreviousOneCountsFromItsEnd guards the first part; EarlierLeasesTest, EndedOwnerTest, JournalTest, PeerTermProbeTest, ExpiringLeasesTest, LostWorkerAdviceTest pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -72,13 +72,14 @@
      * @param workers the tracked workers
      * @param recorded the leases that the previous owner recorded
      * @param events log for the decision
+     * @return whether the wait was shortened now
      */
-    void limit(TrackedWorkers workers, ExpiringLeases recorded, EventLog events)
+    boolean limit(TrackedWorkers workers, ExpiringLeases recorded, EventLog events)
     {
         OptionalLong termEnd = termEndNanos;
         if (limited || termEnd.isEmpty())
         {
-            return;
+            return false;
         }
         limited = true;
         workers.limitUnknownLeases(endNanos().getAsLong());
@@ -86,6 +87,7 @@
         workers.limitRecordedLeases(recorded.adoptedLeaseEnds(termEnd.getAsLong()));
         events.record(EventType.EARLIER_LEASES_LIMITED, previousTerm.box(),
                 "its term is over; leases of earlier terms expire in " + remainingMillis() + " ms");
+        return true;
     }
 
     /**
@@ -95,10 +97,13 @@
     OptionalLong endNanos()
     {
         OptionalLong termEnd = termEndNanos;
-        return termEnd.isEmpty()
-                ? termEnd
-                : OptionalLong.of(
-                        Math.max(termEnd.getAsLong() + LEASE_NANOS, previousTerm.earlierLeasesEndNanos()));
+        if (termEnd.isEmpty())
+        {
+            return termEnd;
+        }
+        long ownLeasesEndNanos = termEnd.getAsLong() + LEASE_NANOS;
+        return OptionalLong
+                .of(Math.max(ownLeasesEndNanos, previousTerm.earlierLeasesEndNanos(termEnd.getAsLong())));
     }
 
     /** Returns how long leases of earlier terms may last from now, in milliseconds. */
@@ -120,9 +125,8 @@
         String known = previousTerm.isOwnerKnown()
                 ? "previous term " + previousTerm.fence() + " of " + previousTerm.box() + " at "
                         + previousTerm.address() + ", leases of terms before it may last "
-                        + TimeUnit.NANOSECONDS
-                                .toMillis(previousTerm.earlierLeasesEndNanos() - SteadyClock.nanos())
-                        + " ms"
+                        + TimeUnit.NANOSECONDS.toMillis(previousTerm.earlierLeaseNanos())
+                        + " ms from its last write"
                 : "the owner of the previous term is not known";
         return known + "; leases of earlier terms may last " + remainingMillis()
                 + " ms unless its end is proved";
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Journal.java
@@ -72,6 +72,7 @@
     private long journalRevision;
     private long writeCount;
     private long lastWriteNanos = SteadyClock.nanos();
+    private boolean markRequested;
 
     /**
      * @param store the platform's store
@@ -120,6 +121,16 @@
         });
     }
 
+    /** Requests a write of the journal's key, because less is to be told of earlier terms. */
+    void requestMark()
+    {
+        synchronized (pendingJobs)
+        {
+            markRequested = true;
+            pendingJobs.notifyAll();
+        }
+    }
+
     @Override
     public void run() throws InterruptedException
     {
@@ -171,6 +182,7 @@
             {
                 pendingJobs.wait(MARK_INTERVAL_MILLIS);
             }
+            markRequested = false;
             Map<Job, List<Batch>> group = new LinkedHashMap<>();
             int records = 0;
             for (Map.Entry<Job, List<Batch>> entry : pendingJobs.entrySet())
@@ -190,7 +202,7 @@
     /** Returns whether the journal's key is to be written although no job has changed. */
     private boolean isMarkDue()
     {
-        return earlierLeases.remainingMillis() > 0
+        return markRequested || earlierLeases.remainingMillis() > 0
                 && SteadyClock.nanos() - lastWriteNanos >= MARK_INTERVAL_MILLIS * NANOS_PER_MILLI;
     }
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
@@ -61,7 +61,7 @@
         {
             return PreviousTerm.ofFence(termFence);
         }
-        return new PreviousTerm(termFence, box, address,
-                nowNanos + TimeUnit.MILLISECONDS.toNanos(earlierLeaseMillis));
+        return new PreviousTerm(termFence, box, address, TimeUnit.MILLISECONDS.toNanos(earlierLeaseMillis),
+                nowNanos);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -201,7 +201,10 @@
             {
                 cellState.configure(newest);
             }
-            earlierLeases.limit(cellState.trackedWorkers(), expiringLeases, events);
+            if (earlierLeases.limit(cellState.trackedWorkers(), expiringLeases, events))
+            {
+                journal.requestMark();
+            }
             expired = releaseExpiredWorkers();
             poisoned = cellState.failPoisonTasks();
             abandonedRuns = unresponsiveWorkerGuard.check(SteadyClock.nanos(), abandonments);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
@@ -10,10 +10,11 @@
  * @param fence fencing token, or {@link OwnerLease#UNKNOWN_FENCE} if no term is known
  * @param box id of the owner; empty if it isn't known
  * @param address address at which other boxes reached the owner; empty if it isn't known
- * @param earlierLeasesEndNanos monotonic time at which leases granted in terms before that one have
- *            certainly expired; only valid if the address is known
+ * @param earlierLeaseNanos time from the write of the record until leases granted in terms before
+ *            that one have certainly expired, in nanoseconds; only valid if the address is known
+ * @param readNanos monotonic time after the record was read
  */
-public record PreviousTerm(long fence, String box, String address, long earlierLeasesEndNanos)
+public record PreviousTerm(long fence, String box, String address, long earlierLeaseNanos, long readNanos)
 {
     private static final String UNKNOWN = "";
 
@@ -23,12 +24,23 @@
     /** Returns a term of which only the fencing token is known. */
     static PreviousTerm ofFence(long fence)
     {
-        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0);
+        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0);
     }
 
-    /** Returns whether the owner and its address are known */
+    /** Returns whether the owner and its address are known. */
     boolean isOwnerKnown()
     {
         return !address.equals(UNKNOWN);
     }
+
+    /**
+     * Returns the monotonic time at which leases granted in terms before this one have certainly
+     * expired.
+     *
+     * @param termEndNanos monotonic time by which this term was over; the record was written before
+     */
+    long earlierLeasesEndNanos(long termEndNanos)
+    {
+        return Math.min(readNanos, termEndNanos) + earlierLeaseNanos;
+    }
 }
