--- a/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/event/EventType.java
@@ -61,7 +61,7 @@
             "The record of workers whose leases are left to expire was written or adopted, or that failed; the text names the workers or the failure."),
     WORKER_ENTRY_REFUSED(407, Level.WARN, "An entry of the worker list was refused; the text says why."),
     EARLIER_LEASES_LIMITED(408, Level.INFO,
-            "The previous owner's process has certainly ended, so the owner waits less for workers that it cannot reach; the text tells how long."),
+            "The previous owner's term is certainly over, so the owner waits less for workers that it cannot reach; the text tells how long."),
     EARLIER_TERM(409, Level.INFO,
             "An owner began; the text gives what it knows of the previous term and how long leases of earlier terms may last."),
     TASK_PLACED(500, Level.DEBUG, "A task was placed on a worker."),
