PreviousTerm: a term that began late tells of earlier ones from when it is read

Found by reading the diff: the transaction that begins a term may be carried out up to the time of its lease after its box has ended. Values that an owner wrote while it served its term count from its end as before.

termThatBeganLateTellsOfEarlierOnesFromWhenItIsRead failed without it (1.0 s too early) and passes; EarlierLeasesTest, PeerTermProbeTest, EndedOwnerTest, OwnerElectionTest, JournalTest pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
@@ -56,12 +56,13 @@
 
     private PreviousTerm toTerm(long revision, long nowNanos)
     {
-        long termFence = fence == OwnerLease.UNKNOWN_FENCE ? revision : fence;
+        boolean isFirst = fence == OwnerLease.UNKNOWN_FENCE;
+        long termFence = isFirst ? revision : fence;
         if (address == null || earlierLeaseMillis == null)
         {
             return PreviousTerm.ofFence(termFence);
         }
         return new PreviousTerm(termFence, box, address, TimeUnit.MILLISECONDS.toNanos(earlierLeaseMillis),
-                nowNanos);
+                nowNanos, !isFirst);
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
@@ -13,8 +13,11 @@
  * @param earlierLeaseNanos time from the write of the record until leases granted in terms before
  *            that one have certainly expired, in nanoseconds; only valid if the address is known
  * @param readNanos monotonic time after the record was read
+ * @param served whether the owner wrote the record after it knew of its term; the transaction that
+ *            begins a term may be carried out late, after the owner has ended
  */
-public record PreviousTerm(long fence, String box, String address, long earlierLeaseNanos, long readNanos)
+public record PreviousTerm(long fence, String box, String address, long earlierLeaseNanos, long readNanos,
+        boolean served)
 {
     private static final String UNKNOWN = "";
 
@@ -24,7 +27,7 @@
     /** Returns a term of which only the fencing token is known. */
     static PreviousTerm ofFence(long fence)
     {
-        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0);
+        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0, false);
     }
 
     /** Returns whether the owner and its address are known. */
@@ -37,10 +40,12 @@
      * Returns the monotonic time at which leases granted in terms before this one have certainly
      * expired.
      *
-     * @param termEndNanos monotonic time by which this term was over; the record was written before
+     * @param termEndNanos monotonic time by which this term was over; an owner that served it had
+     *            written the record before
      */
     long earlierLeasesEndNanos(long termEndNanos)
     {
-        return Math.min(readNanos, termEndNanos) + earlierLeaseNanos;
+        long writtenNanos = served ? Math.min(readNanos, termEndNanos) : readNanos;
+        return writtenNanos + earlierLeaseNanos;
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
@@ -29,9 +29,14 @@
     private final FakeOtherBoxes otherBoxes = new FakeOtherBoxes();
 
     private EarlierLeases earlierLeases(long earlierLeaseNanos)
+    {
+        return earlierLeases(earlierLeaseNanos, true);
+    }
+
+    private EarlierLeases earlierLeases(long earlierLeaseNanos, boolean served)
     {
         return new EarlierLeases(new PreviousTerm(FENCE, OWNER, FakeOtherBoxes.ADDRESS, earlierLeaseNanos,
-                SteadyClock.nanos()), otherBoxes);
+                SteadyClock.nanos(), served), otherBoxes);
     }
 
     private static OptionalLong probe(EarlierLeases leases) throws InterruptedException
@@ -44,7 +49,7 @@
 
     private long ownerEndNanos()
     {
-        return otherBoxes.termEndNanos(new PreviousTerm(FENCE, OWNER, "", 0, 0)).orElseThrow();
+        return otherBoxes.termEndNanos(new PreviousTerm(FENCE, OWNER, "", 0, 0, true)).orElseThrow();
     }
 
     @Test
@@ -91,6 +96,17 @@
         assertThat(endNanos).isEqualTo(ownerEndNanos() + EarlierLeases.MAX_NANOS);
     }
 
+    /** Guards against two runs of a task, because a term may begin after its owner has ended. */
+    @Test
+    void termThatBeganLateTellsOfEarlierOnesFromWhenItIsRead() throws InterruptedException
+    {
+        otherBoxes.end(OWNER);
+        Thread.sleep(DOWNTIME_MILLIS);
+        long beforeReadNanos = SteadyClock.nanos();
+        long endNanos = probe(earlierLeases(EarlierLeases.MAX_NANOS, false)).orElseThrow();
+        assertThat(endNanos).isAtLeast(beforeReadNanos + EarlierLeases.MAX_NANOS);
+    }
+
     @Test
     void nothingIsKnownOfAnUnknownOwner() throws InterruptedException
     {
@@ -113,6 +129,7 @@
         assertThat(term.fence()).isEqualTo(FENCE);
         assertThat(term.box()).isEqualTo(OWNER);
         assertThat(term.readNanos()).isEqualTo(nowNanos);
+        assertThat(term.served()).isFalse();
         assertThat(term.earlierLeaseNanos()).isAtLeast(TimeUnit.MILLISECONDS.toNanos(MAX_MILLIS));
     }
 
