Review: a fault of a script never counts as a broken rule

Cause: an uncaught exception ended a script with 1. Change: it ends with 2, also if the cell can't be set up.

--- a/review/lib2/cell.py
+++ b/review/lib2/cell.py
@@ -267,7 +267,10 @@
 
     def ask(self, method, path, body=None, box=None, deadline_ms=3000):
         """Sends one client's request; returns (status, body), or (None, reason) if there is no answer."""
-        name = box or random.choice([n for n in self.boxes if self.boxes[n]["process"].poll() is None])
+        running = [n for n in self.boxes if self.boxes[n]["process"].poll() is None]
+        if not running:
+            raise NotRun("no box is running")
+        name = box or random.choice(running)
         target = self.boxes[name]
         try:
             connection = http.client.HTTPConnection(target["ip"], target["front"], timeout=deadline_ms / 1000)
@@ -365,21 +368,29 @@
 
 def run(case, script, **options):
     """Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    code = NOT_RUN
     for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
         signal.signal(number, stop_running)
     signal.alarm(MAX_SECONDS)
-    with Cell(os.path.dirname(os.path.abspath(case)), **options) as cell:
-        try:
-            code = script(cell)
-        except NotRun as e:
-            cell.note(f"not run: {e}")
-            print(f"not run: {e}")
-        except (OSError, ValueError) as e:
-            cell.note(f"not run: {e!r}")
-            print(f"not run: {e!r}")
-        signal.alarm(0)
-        result = {BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[code]
-        cell.note(result)
-        print(result)
+    code = NOT_RUN
+    try:
+        with Cell(os.path.dirname(os.path.abspath(case)), **options) as cell:
+            code = run_in(cell, script)
+    except Exception as e:  # the cell could not be set up or taken down
+        code = NOT_RUN
+        print(f"not run: {e!r}")
     sys.exit(code)
+
+
+def run_in(cell, script):
+    """Runs a script in a cell that is ended afterwards; returns the exit code."""
+    code = NOT_RUN
+    try:
+        code = script(cell)
+    except Exception as e:  # a fault of the script says nothing of the rule
+        cell.note(f"not run: {e!r}")
+        print(f"not run: {e!r}")
+    signal.alarm(0)
+    result = {BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[code]
+    cell.note(result)
+    print(result)
+    return code
