--- a/review/lib2/cell.py
+++ b/review/lib2/cell.py
@@ -226,22 +226,28 @@
     def start_boxes(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"]["box"]
+        for _ in range(self.box_count):
+            self.add_box()
+        self.wait_until(lambda: all(self.is_ready(name) for name in self.boxes), 30, "the boxes")
+
+    def add_box(self):
+        """Starts a box on a further machine, at an address of its own; returns its name."""
+        number = len(self.boxes) + 1
+        ip = f"{self.net}.{10 + number}"
+        name = f"frontend-z-{number}"
+        front, ready, peer = (self.free_port(ip) for _ in range(3))
+        fields = {"node_name": name, "zone": "z", "ip": ip, "advice": "", "bounds": BOUNDS,
+                  "listen": {"front": f"{ip}:{front}", "readiness": f"{ip}:{ready}"},
+                  "internal_ports": [peer, peer + 15], "platform": {"address": self.store},
+                  "limits": {"cores": 1, "cpu_share": 0.75}}
         with open(os.path.join(ROOT, self.role["template"])) as file:
             template = file.read()
-        for number in range(1, self.box_count + 1):
-            ip = f"{self.net}.{10 + number}"
-            name = f"frontend-z-{number}"
-            front, ready, peer = (self.free_port(ip) for _ in range(3))
-            fields = {"node_name": name, "zone": "z", "ip": ip, "advice": "", "bounds": BOUNDS,
-                      "listen": {"front": f"{ip}:{front}", "readiness": f"{ip}:{ready}"},
-                      "internal_ports": [peer, peer + 15], "platform": {"address": self.store},
-                      "limits": {"cores": 1, "cpu_share": 0.75}}
-            settings = os.path.join(self.dir, name + ".json")
-            with open(settings, "w") as file:
-                file.write(render(template, fields))
-            self.boxes[name] = {"ip": ip, "front": front, "ready": ready, "settings": settings}
-            self.start_box(name)
-        self.wait_until(lambda: all(self.is_ready(name) for name in self.boxes), 30, "the boxes")
+        settings = os.path.join(self.dir, name + ".json")
+        with open(settings, "w") as file:
+            file.write(render(template, fields))
+        self.boxes[name] = {"ip": ip, "front": front, "ready": ready, "settings": settings}
+        self.start_box(name)
+        return name
 
     def start_box(self, name):
         box = self.boxes[name]
