Gangs: a failed run counts once over a change of owner

Cause: which run of a gang was counted last was held in memory only. Two members that fail at one moment and are reported to two owners counted as two attempts. Change: the number of the counted run is stored with the progress, in the count of the gang's second task, which was always 0. A field of its own would make boxes of earlier versions reject the progress and not run the job; they keep this value unchanged.

--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobProgress.java
@@ -43,6 +43,10 @@
 
     /**
      * Progress of one task.
+     * <p>
+     * A gang fails as a whole: the {@code failures} of its first task is the number of its failed runs,
+     * and that of its second task is the number of the last run that was counted. Earlier versions
+     * reject unknown fields, but keep this value unchanged.
      *
      * @param run the number of the latest run that may have been started, 0 for none
      * @param failures the number of failed runs
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
@@ -178,8 +178,7 @@
         {
             task.recordFailure();
         }
-        int failures = step.spec().gang() ? step.tasks().getFirst().failures() : task.failures();
-        if (failures >= job.queue().maxAttempts())
+        if (step.failuresOf(task) >= job.queue().maxAttempts())
         {
             CellState.finish(job, JobState.FAILED, effects);
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Step.java
@@ -27,8 +27,6 @@
     private final ComputeResources needs;
     private final String name;
     private final List<Task> tasks = new ArrayList<>();
-    private int lastFailedGangRun;
-    private int gangFailures;
     private SpeedFit speedFit = SpeedFit.NEUTRAL;
     private boolean wasHeld;
     private long heldSinceNanos;
@@ -133,17 +131,31 @@
         tasks.forEach(task -> task.saveCheckpoint(checkpoint));
     }
 
-    /** Counts a failed run of the gang once, regardless of the number of members that report it. */
+    /**
+     * Counts a failed run of the gang once, regardless of the number of members that report it and of
+     * the owner to which they report.
+     */
     void recordGangFailure(int run)
     {
-        if (run > lastFailedGangRun)
+        if (tasks.size() == 1)
+        {
+            tasks.getFirst().recordFailure();
+        }
+        else if (run > tasks.get(1).failures())
         {
-            lastFailedGangRun = run;
-            gangFailures++;
             tasks.getFirst().recordFailure();
+            tasks.get(1).setFailures(run);
         }
     }
 
+    /**
+     * Returns the number of failed runs that count against a task, which are those of its gang if any.
+     */
+    int failuresOf(Task task)
+    {
+        return spec.gang() ? tasks.getFirst().failures() : task.failures();
+    }
+
     /**
      * Returns whether a worker offers the service of the queue and the label that the step requires.
      */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -356,11 +356,20 @@
         }
     }
 
+    /**
+     * Returns the number of failed runs. The second member of a gang holds the number of the gang's
+     * last failed run instead, see {@link TaskProgress}.
+     */
     int failures()
     {
         return failures;
     }
 
+    void setFailures(int newFailures)
+    {
+        failures = newFailures;
+    }
+
     String checkpoint()
     {
         return checkpoint;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerRating.java
@@ -46,7 +46,7 @@
                 worker.free().minus(needs.times(alreadyPlaced)), needs);
         rating += worker.health().isAvoided(nowNanos) ? AVOIDED_WEIGHT : 0;
         rating += worker.health().hasFailures() ? FAILURE_WEIGHT : 0;
-        rating += task.failures() > 0 && !worker.health().isProven() ? UNPROVEN_WEIGHT : 0;
+        rating += task.step().failuresOf(task) > 0 && !worker.health().isProven() ? UNPROVEN_WEIGHT : 0;
         rating += task.hasFailedOn(worker) ? UNPROVEN_WEIGHT : 0;
         rating += task.isSuspect() ? CRASH_COST_WEIGHT * crashCost(worker) : 0;
         boolean lacksAffinity = task.step().lacksAffinity(worker.entry());
