Jobs: an accepted job stays known at its address when the queue there gets another name

Cause: JobScope compared the name of the caller's route with the name in the job's record. Callers know host, prefix and id only. Change: the transaction that accepts the first job of a queue at an address on a box also writes that pair to a key of its own (QueueAddresses). A caller has access by the name or by such an address; the customer is checked as before. A cancellation names the queue of the record. Why it works: the pair is stored before the acceptance is told, and is never changed, so every box knows it in whatever version it is. Records are as before, so boxes of earlier versions read them.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -12,6 +12,7 @@
 import org.gaugehollow.event.EventType;
 import org.gaugehollow.event.Metrics;
 import org.gaugehollow.job.Cancellation;
+import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
@@ -49,6 +50,7 @@
     private final MonitoredStore store;
     private final JobListener listener;
     private final Admission admission;
+    private final QueueAddresses addresses;
     private final EventLog events;
     private final Metrics metrics;
 
@@ -68,6 +70,7 @@
     {
         this.admission = admission;
         this.store = store;
+        this.addresses = new QueueAddresses(store);
         this.listener = listener;
         this.events = events;
         this.metrics = metrics;
@@ -137,6 +140,7 @@
                 new JobRecord(id, scope.queue(), job, System.currentTimeMillis(), scope.customer()));
         StoreTransaction write = new StoreTransaction().require(JobKeys.job(id), 0).put(JobKeys.job(id),
                 record);
+        addresses.addTo(write, scope);
         boolean[] created = new boolean[1];
         writeUntilSettled(() -> created[0] = HedgedCall.write(() -> store.commit(write)).isPresent(), id,
                 deadlineNanos);
@@ -147,6 +151,7 @@
         if (created[0])
         {
             admission.onAccepted(scope, job);
+            addresses.onAccepted(scope);
         }
         listener.onJobWritten(id);
         events.record(EventType.JOB_ACCEPTED, id, scope.queue().name() + customerSuffix(scope.customer())
@@ -279,9 +284,9 @@
             }
             listing = listJob(id);
         }
-        requireRecord(scope, id, listing);
+        JobRecord job = requireRecord(scope, id, listing);
         StoreTransaction write = new StoreTransaction().put(JobKeys.cancellation(id),
-                Cancellation.of(scope).write());
+                new Cancellation(job.queue().name(), scope.customer()).write());
         writeUntilSettled(() -> HedgedCall.write(() -> store.commit(write)), id, deadlineNanos);
         events.record(EventType.JOB_CANCELLED, id, scope.queue().name() + customerSuffix(scope.customer()));
         listener.onJobCancelled(id);
@@ -340,10 +345,16 @@
         return HedgedCall.read(() -> store.list(JobKeys.jobPrefix(id)));
     }
 
-    /** Reports a job of another customer as unknown, so that its existence is not disclosed. */
+    /**
+     * Reports a job of another customer or queue as unknown, so that its existence is not disclosed. A
+     * job stays known at its address if the queue there has another name by now.
+     */
     private void requireInScope(JobScope scope, String id, String queue, String customer, long revision)
+            throws InterruptedException
     {
-        if (!scope.covers(queue, customer))
+        boolean isCovered = scope.covers(queue, customer)
+                || scope.admits(customer) && addresses.wereAcceptedAt(scope, queue);
+        if (!isCovered)
         {
             throw unknownJob(scope, id, revision);
         }
@@ -358,6 +369,7 @@
     }
 
     private JobRecord requireRecord(JobScope scope, String id, StoreListing listing)
+            throws InterruptedException
     {
         StoredValue value = findRecord(id, listing)
                 .orElseThrow(() -> unknownJob(scope, id, listing.revision()));
@@ -372,14 +384,29 @@
     }
 
     /**
-     * Returns the number of waiting jobs of a queue.
+     * Returns the number of waiting jobs of a queue, including those accepted at the same address under
+     * a name that the queue no longer has.
      *
-     * @param queue the queue
+     * @param scope the queue and its address
+     * @param config the configuration in which the caller's route was found
      * @return number of jobs that have not started, as last counted by the owner
      * @throws InterruptedException if the thread is interrupted
      * @throws GaugehollowException {@code COUNT_UNKNOWN} if no owner has published a count
      */
-    public int pending(QueueSpec queue) throws InterruptedException
+    public int pending(JobScope scope, CellConfig config) throws InterruptedException
+    {
+        int sum = 0;
+        for (Map.Entry<String, Integer> count : readCounts(scope.queue()).entrySet())
+        {
+            String queue = count.getKey();
+            boolean isCounted = queue.equals(scope.queue().name())
+                    || config.queue(queue).isEmpty() && addresses.wereAcceptedAt(scope, queue);
+            sum += isCounted ? count.getValue() : 0;
+        }
+        return sum;
+    }
+
+    private Map<String, Integer> readCounts(QueueSpec queue) throws InterruptedException
     {
         requireResponsiveStore(queue.name());
         Optional<StoredValue> stored = HedgedCall.read(() -> store.get(JobKeys.SUMMARY));
@@ -389,7 +416,7 @@
         }
         try
         {
-            return Json.mapper().readValue(stored.get().value(), COUNTS_TYPE).getOrDefault(queue.name(), 0);
+            return Json.mapper().readValue(stored.get().value(), COUNTS_TYPE);
         }
         catch (java.io.IOException e)
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/job/CellConfig.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/CellConfig.java
@@ -39,6 +39,12 @@
         {
             this(host, pathPrefix, queue, false);
         }
+
+        /** @return where callers reach the queue */
+        public QueueAddress address()
+        {
+            return new QueueAddress(host, pathPrefix);
+        }
     }
 
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
@@ -21,6 +21,11 @@
     public static final String EXPIRING_LEASES = "gaugehollow/lapsing";
     /** Key of the counts of waiting jobs, written by the owner. */
     public static final String SUMMARY = "gaugehollow/summary";
+    /**
+     * Prefix of the addresses at which jobs of a queue were accepted, one key for each queue and
+     * address.
+     */
+    public static final String QUEUE_ADDRESSES = "gaugehollow/queues/";
     /** Prefix of the boxes' registrations. */
     public static final String BOXES = "gaugehollow/boxes/";
     /** Prefix of the keys by address that put the registrations at one address in order. */
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobScope.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobScope.java
@@ -4,15 +4,24 @@
  */
 package org.gaugehollow.job;
 
+import java.util.Optional;
+
 /**
  * The jobs that a caller may see and change: those of one queue that belong to the caller's
  * customer or to none.
  *
  * @param queue the queue
  * @param customer the name of the caller's customer; null if callers need no key
+ * @param address where the caller reaches the queue; empty if that is unknown
  */
-public record JobScope(QueueSpec queue, String customer)
+public record JobScope(QueueSpec queue, String customer, Optional<QueueAddress> address)
 {
+    /** Creates the scope of a caller whose address is unknown. */
+    public JobScope(QueueSpec queue, String customer)
+    {
+        this(queue, customer, Optional.empty());
+    }
+
     /**
      * @param queue a queue
      * @return the scope of a caller without a key
@@ -29,6 +38,15 @@
      */
     public boolean covers(String jobQueue, String jobCustomer)
     {
-        return queue.name().equals(jobQueue) && (jobCustomer == null || jobCustomer.equals(customer));
+        return queue.name().equals(jobQueue) && admits(jobCustomer);
+    }
+
+    /**
+     * @param jobCustomer the name of a job's customer; null if it was accepted without a key
+     * @return whether the caller may see and change jobs of that customer
+     */
+    public boolean admits(String jobCustomer)
+    {
+        return jobCustomer == null || jobCustomer.equals(customer);
     }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/CustomerIsolationTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/CustomerIsolationTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.gaugehollow.event.EventLog;
@@ -19,6 +20,7 @@
 import org.gaugehollow.job.JobScope;
 import org.gaugehollow.job.JobSpec;
 import org.gaugehollow.job.JobState;
+import org.gaugehollow.job.QueueAddress;
 import org.gaugehollow.job.QueueSpec;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.model.GaugehollowException;
@@ -35,6 +37,7 @@
 {
     private static final String ID = "00000000000000aa";
     private static final QueueSpec QUEUE = new QueueSpec("urgent", "service", 0, 2, 250, 1.5, null);
+    private static final QueueAddress ADDRESS = new QueueAddress("scores.example", "/recap/");
     private static final JobScope NORTH = new JobScope(QUEUE, "north");
     private static final JobScope SOUTH = new JobScope(QUEUE, "south");
     private static final JobSpec JOB = new JobSpec("text", List.of(new StepSpec(1, 1, 1, 0, 1, List.of(),
@@ -131,4 +134,19 @@
         submit(NORTH);
         assertThat(store.list(JobKeys.JOBS).values()).hasSize(1);
     }
+
+    private static JobScope renamed(String customer)
+    {
+        return new JobScope(QueueSpec.named("renamed"), customer, Optional.of(ADDRESS));
+    }
+
+    @Test
+    void jobOfRenamedQueueIsVisibleToItsCustomerOnly() throws InterruptedException
+    {
+        submit(new JobScope(QUEUE, "north", Optional.of(ADDRESS)));
+        assertThat(box.state(renamed("north"), ID)).isEqualTo(JobState.QUEUED);
+        assertThat(codeOf(() -> box.state(renamed("south"), ID))).isEqualTo(ResultCode.UNKNOWN_JOB);
+        assertThat(codeOf(() -> box.cancel(renamed("south"), ID, inOneSecond())))
+                .isEqualTo(ResultCode.UNKNOWN_JOB);
+    }
 }
--- a/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/JobIntakeTest.java
@@ -18,6 +18,7 @@
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
 import org.gaugehollow.event.Metrics;
+import org.gaugehollow.job.CellConfig;
 import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.job.JobProgress;
@@ -234,13 +235,18 @@
         assertThat(codeOf(() -> box.state(JobScope.of(QUEUE), ID))).isEqualTo(ResultCode.STORE_UNAVAILABLE);
     }
 
+    private int pending(QueueSpec queue) throws InterruptedException
+    {
+        return box.pending(JobScope.of(queue), CellConfig.NONE);
+    }
+
     @Test
     void pendingCountIsUnknownWithoutOwner() throws InterruptedException
     {
-        assertThat(codeOf(() -> box.pending(QUEUE))).isEqualTo(ResultCode.COUNT_UNKNOWN);
+        assertThat(codeOf(() -> pending(QUEUE))).isEqualTo(ResultCode.COUNT_UNKNOWN);
         store.commit(new StoreTransaction().put(JobKeys.SUMMARY, Json.write(Map.of("urgent", 3))));
-        assertThat(box.pending(QUEUE)).isEqualTo(3);
-        assertThat(box.pending(OTHER_QUEUE)).isEqualTo(0);
+        assertThat(pending(QUEUE)).isEqualTo(3);
+        assertThat(pending(OTHER_QUEUE)).isEqualTo(0);
     }
 
     /** Guards against running a job whose delayed record is written after its cancellation. */
