Leases count from the last confirmation of the term; witnesses vouch while the store is silent

Cause: leases counted from when the owner renewed them, which it does for 8 s without the store. A successor needed a proof of the owner's end, and only a process at the owner's address could give it: nobody, where the machine is gone, frozen or cut off. Change: a lease counts from the last confirmation by the store or, while the store is silent, from the word of a recorded witness, another box that knows no later term. The owner records its witnesses before it relies on them (gaugehollow/witnesses); the next owner asks each of them to stop and learns when it vouched last. A witness that doesn't answer leaves the present wait. The owner's key is read four times a second. Why it works: the store can't confirm an earlier term after the next one began, and a witness can't vouch for it after its promise, so no lease outlives the later of the two by more than a lease, whatever became of the owner. A paused owner only repeats an old deadline.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.box;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -50,6 +51,7 @@
     private final EventLog events;
     private final Map<String, Registration> registrations = new ConcurrentHashMap<>();
     private final PeerTermProbe termProbe;
+    private final PeerWitnesses witnesses;
     /** Revision of the key of this box's address as last read; 0 if there was none. */
     private long addressRevision;
     private volatile long ownRevision = NOT_REGISTERED;
@@ -80,13 +82,15 @@
     }
 
     BoxRegistry(String box, Entry ownEntry, PlatformStore store, PeerDirectory directory,
-            PeerTermProbe termProbe, AdviceDispatcher adviceDispatcher, EventLog events)
+            PeerTermProbe termProbe, String hall, AdviceDispatcher adviceDispatcher, EventLog events)
     {
         this.box = box;
         this.ownEntry = ownEntry;
         this.store = store;
         this.directory = directory;
         this.termProbe = termProbe;
+        this.witnesses = new PeerWitnesses(ownEntry.address(), hall, directory, this::addresses,
+                termProbe::listeningNanos);
         this.adviceDispatcher = adviceDispatcher;
         this.events = events;
     }
@@ -217,6 +221,11 @@
         removePeer(peer, "no longer registered at revision " + revision);
     }
 
+    private List<String> addresses()
+    {
+        return registrations.values().stream().map(Registration::address).toList();
+    }
+
     /** Returns the ids of the other registered boxes. */
     Set<String> peers()
     {
@@ -249,6 +258,12 @@
                 && registration.entry().processorMillis() * OUTRANKING_RATIO >= ownEntry.processorMillis());
     }
 
+    @Override
+    public PeerWitnesses witnesses()
+    {
+        return witnesses;
+    }
+
     @Override
     public String ownAddress()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobBox.java
@@ -136,7 +136,7 @@
         this.termProbe = new PeerTermProbe(id, settings.peerAddress(), peerDirectory);
         this.registry = new BoxRegistry(id,
                 new BoxRegistry.Entry(settings.peerAddress(), settings.processorMillis()), store,
-                peerDirectory, termProbe, adviceDispatcher, events);
+                peerDirectory, termProbe, settings.hall(), adviceDispatcher, events);
         this.ownerMonitor = new OwnerMonitor(new PeerOwnerProbe(registry, this::onBacklog), store::isStable,
                 registry::isOutranked, SteadyClock::nanos);
         this.election = new OwnerElection(id, platform, config, ownerMonitor, registry, adviceDispatcher,
@@ -175,6 +175,8 @@
             case RELAY -> PeerRelay.handle(call.getRelay(), service);
             case STORE -> PeerStoreProbe.handle(store);
             case TERM -> termProbe.handle(call.getTerm(), election::endReplacedTerm);
+            case VOUCH -> registry.witnesses().handle(call.getVouch());
+            case END_VOUCHING -> registry.witnesses().handle(call.getEndVouching());
             case JOB_NOTICE -> PeerJobNotice.handle(call.getJobNotice(), election);
             default ->
                 throw new GaugehollowException(ResultCode.PEER_BAD_CALL, "unexpected " + call.getBodyCase());
--- a/gaugehollow/src/main/java/org/gaugehollow/box/PeerTermProbe.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/PeerTermProbe.java
@@ -76,7 +76,9 @@
         {
             TermReply reply = directory.link(term.address())
                     .call(Frame.newBuilder().setTerm(call), TIMEOUT_MILLIS).getTermReply();
-            return reply.getEnded() ? OptionalLong.of(toLocalNanos(reply)) : OptionalLong.empty();
+            return reply.getEnded()
+                    ? OptionalLong.of(toLocalNanos(reply.getEndedMillis()))
+                    : OptionalLong.empty();
         }
         catch (GaugehollowException e)
         {
@@ -84,12 +86,26 @@
         }
     }
 
-    private static long toLocalNanos(TermReply reply)
+    /**
+     * Returns the monotonic time of an event at another box, at the latest.
+     *
+     * @param elapsedMillis time since the event by the clock of the other box, as of its reply
+     */
+    static long toLocalNanos(long elapsedMillis)
     {
-        double ageMillis = reply.getEndedMillis() / MAX_CLOCK_DRIFT_FACTOR;
+        double ageMillis = elapsedMillis / MAX_CLOCK_DRIFT_FACTOR;
         return SteadyClock.nanos() - TimeUnit.MILLISECONDS.toNanos((long) ageMillis);
     }
 
+    /**
+     * Returns the monotonic time since which no other process listens at the address of this one; empty
+     * until this one listens there.
+     */
+    OptionalLong listeningNanos()
+    {
+        return listeningNanos;
+    }
+
     /**
      * Answers a question of the present owner.
      *
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobKeys.java
@@ -19,6 +19,8 @@
     public static final String JOURNAL = "gaugehollow/journal";
     /** Key of the workers whose leases the owner no longer renews because they are unresponsive. */
     public static final String EXPIRING_LEASES = "gaugehollow/lapsing";
+    /** Key of the boxes that may vouch for the owner while the store doesn't answer it. */
+    public static final String WITNESSES = "gaugehollow/witnesses";
     /** Key of the counts of waiting jobs, written by the owner. */
     public static final String SUMMARY = "gaugehollow/summary";
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -5,7 +5,9 @@
 package org.gaugehollow.schedule;
 
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -34,40 +36,95 @@
 
     private final PreviousTerm previousTerm;
     private final OtherBoxes otherBoxes;
-    private final long maxEndNanos = SteadyClock.nanos() + MAX_NANOS;
+    private final long fence;
+    /** Monotonic time after which the store has confirmed no earlier term. */
+    private final long beginNanos = SteadyClock.nanos();
+    private final long maxEndNanos = beginNanos + MAX_NANOS;
     private volatile OptionalLong termEndNanos = OptionalLong.empty();
-    /** Whether the end of the previous term was applied to the workers. */
-    private boolean limited;
+    /** What earlier owners have recorded of their witnesses; null until it is read. */
+    private volatile WitnessRecord witnessRecord;
+    /** Witnesses that may still vouch for an earlier term. */
+    private volatile Set<String> unresolvedWitnesses = Set.of();
+    /** Monotonic time since which the other witnesses have vouched for no earlier term. */
+    private volatile long vouchEndNanos = beginNanos;
+    /** End of the leases that was applied to the workers. */
+    private long appliedEndNanos = maxEndNanos;
 
     /**
      * @param previousTerm the term before the present one, or {@link PreviousTerm#NONE} if it is
      *            unknown
-     * @param otherBoxes asks whether the previous term is over
+     * @param otherBoxes asks whether the previous term is over, and the witnesses of earlier terms
+     * @param fence fencing token of the present term
      */
-    EarlierLeases(PreviousTerm previousTerm, OtherBoxes otherBoxes)
+    EarlierLeases(PreviousTerm previousTerm, OtherBoxes otherBoxes, long fence)
     {
         this.previousTerm = previousTerm;
         this.otherBoxes = otherBoxes;
+        this.fence = fence;
     }
 
-    /** Asks for the end of the previous term until it is known or doesn't matter any more. */
+    /** Returns whether the record of the witnesses of earlier owners was read. */
+    boolean hasWitnessRecord()
+    {
+        return witnessRecord != null;
+    }
+
+    /** Sets what earlier owners have recorded of their witnesses. */
+    void setWitnessRecord(WitnessRecord read)
+    {
+        unresolvedWitnesses = Set.copyOf(read.witnesses());
+        witnessRecord = read;
+    }
+
+    /** Returns the witnesses of earlier owners that the next owner has to ask. */
+    Set<String> unresolvedWitnesses()
+    {
+        return remainingMillis() > 0 ? unresolvedWitnesses : Set.of();
+    }
+
+    /** Returns whether an earlier owner may have renewed leases without witness that still last. */
+    boolean mayBeUnwitnessed()
+    {
+        return witnessRecord.unwitnessed() && remainingMillis() > 0;
+    }
+
+    /** Asks for the end of earlier terms until it is known or doesn't matter any more. */
     @Override
     public void run() throws InterruptedException
     {
-        while (previousTerm.isOwnerKnown() && remainingMillis() > 0)
+        while (remainingMillis() > 0 && !(termEndNanos.isPresent() && areWitnessesResolved()))
         {
-            termEndNanos = otherBoxes.termEndNanos(previousTerm);
-            if (termEndNanos.isPresent())
+            askWitnesses();
+            if (previousTerm.isOwnerKnown() && termEndNanos.isEmpty())
             {
-                return;
+                termEndNanos = otherBoxes.termEndNanos(previousTerm);
             }
             Thread.sleep(PROBE_INTERVAL_MILLIS);
         }
     }
 
+    private void askWitnesses() throws InterruptedException
+    {
+        for (String address : unresolvedWitnesses)
+        {
+            OptionalLong answer = otherBoxes.witnesses().endVouching(address, fence);
+            if (answer.isPresent())
+            {
+                vouchEndNanos = Math.max(vouchEndNanos, answer.getAsLong());
+                unresolvedWitnesses = unresolvedWitnesses.stream().filter(other -> !other.equals(address))
+                        .collect(Collectors.toUnmodifiableSet());
+            }
+        }
+    }
+
+    private boolean areWitnessesResolved()
+    {
+        return witnessRecord != null && unresolvedWitnesses.isEmpty();
+    }
+
     /**
-     * Shortens the wait for unreachable workers once the previous term is certainly over. The caller
-     * holds the lock of the cell state.
+     * Shortens the wait for unreachable workers once more is known of the end of earlier terms. The
+     * caller holds the lock of the cell state.
      *
      * @param workers the tracked workers
      * @param recorded the leases that the previous owner recorded
@@ -77,24 +134,39 @@
     boolean limit(TrackedWorkers workers, ExpiringLeases recorded, EventLog events)
     {
         OptionalLong termEnd = termEndNanos;
-        if (limited || termEnd.isEmpty())
+        OptionalLong end = endNanos();
+        if (end.isEmpty() || end.getAsLong() - appliedEndNanos >= 0)
         {
             return false;
         }
-        limited = true;
-        workers.limitUnknownLeases(endNanos().getAsLong());
-        // The record was written before the term ended.
-        workers.limitRecordedLeases(recorded.adoptedLeaseEnds(termEnd.getAsLong()));
+        appliedEndNanos = end.getAsLong();
+        workers.limitUnknownLeases(appliedEndNanos);
+        if (termEnd.isPresent())
+        {
+            // The record was written before the term ended.
+            workers.limitRecordedLeases(recorded.adoptedLeaseEnds(termEnd.getAsLong()));
+        }
         events.record(EventType.EARLIER_LEASES_LIMITED, previousTerm.box(),
-                "its term is over; leases of earlier terms expire in " + remainingMillis() + " ms");
+                (termEnd.isPresent() ? "its term is over" : "no witness vouches for it any more")
+                        + "; leases of earlier terms expire in " + remainingMillis() + " ms");
         return true;
     }
 
     /**
      * Returns the monotonic time at which all leases of earlier terms have certainly expired, or empty
-     * if it isn't proved that the previous term is over.
+     * if it isn't proved that no earlier owner renews them.
      */
     OptionalLong endNanos()
+    {
+        OptionalLong byOwner = endByOwner();
+        OptionalLong byWitnesses = endByWitnesses();
+        return byOwner.isPresent() && byWitnesses.isPresent()
+                ? OptionalLong.of(Math.min(byOwner.getAsLong(), byWitnesses.getAsLong()))
+                : byOwner.isPresent() ? byOwner : byWitnesses;
+    }
+
+    /** Returns the end that follows from the end of the previous term. */
+    private OptionalLong endByOwner()
     {
         OptionalLong termEnd = termEndNanos;
         if (termEnd.isEmpty())
@@ -106,6 +178,16 @@
                 .of(Math.max(ownLeasesEndNanos, previousTerm.earlierLeasesEndNanos(termEnd.getAsLong())));
     }
 
+    /**
+     * Returns the end that follows from the last confirmation by the store, which was before this term
+     * began, and the last word of a witness.
+     */
+    private OptionalLong endByWitnesses()
+    {
+        boolean isKnown = previousTerm.bounded() && areWitnessesResolved() && !witnessRecord.unwitnessed();
+        return isKnown ? OptionalLong.of(vouchEndNanos + LEASE_NANOS) : OptionalLong.empty();
+    }
+
     /** Returns how long leases of earlier terms may last from now, in milliseconds. */
     long remainingMillis()
     {
@@ -116,7 +198,9 @@
     /** Returns the value of the journal's key for the next owner. */
     JournalMark mark(OwnerLease owner, long write)
     {
-        return new JournalMark(owner.box(), write, owner.fence(), otherBoxes.ownAddress(), remainingMillis());
+        long millis = remainingMillis();
+        return new JournalMark(owner.box(), write, owner.fence(), otherBoxes.ownAddress(), millis,
+                previousTerm.bounded() || millis == 0);
     }
 
     /** Returns what is known of earlier terms, for the log. */
@@ -129,6 +213,6 @@
                         + " ms from its last write"
                 : "the owner of the previous term is not known";
         return known + "; leases of earlier terms may last " + remainingMillis()
-                + " ms unless its end is proved";
+                + " ms unless its end is proved" + (previousTerm.bounded() ? " or its witnesses answer" : "");
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JournalMark.java
@@ -23,14 +23,21 @@
  * @param address address at which other boxes reach the box; null if written by an earlier version
  * @param earlierLeaseMillis time from the write until leases granted in earlier terms have
  *            certainly expired, in milliseconds; null if written by an earlier version
+ * @param bounded whether leases granted in this and earlier terms count from the last confirmation
+ *            by the store or word of a recorded witness; null if written by an earlier version
  */
-record JournalMark(String box, long write, long fence, String address, Long earlierLeaseMillis)
+record JournalMark(String box, long write, long fence, String address, Long earlierLeaseMillis,
+        Boolean bounded)
 {
-    /** Returns the value for the transaction that begins a term. */
-    static JournalMark first(String box, String address)
+    /**
+     * Returns the value for the transaction that begins a term.
+     *
+     * @param bounded whether the leases of earlier terms are bounded
+     */
+    static JournalMark first(String box, String address, boolean bounded)
     {
         return new JournalMark(box, 0, OwnerLease.UNKNOWN_FENCE, address,
-                TimeUnit.NANOSECONDS.toMillis(EarlierLeases.MAX_NANOS));
+                TimeUnit.NANOSECONDS.toMillis(EarlierLeases.MAX_NANOS), bounded);
     }
 
     /**
@@ -63,6 +70,6 @@
             return PreviousTerm.ofFence(termFence);
         }
         return new PreviousTerm(termFence, box, address, TimeUnit.MILLISECONDS.toNanos(earlierLeaseMillis),
-                nowNanos, !isFirst);
+                nowNanos, !isFirst, Boolean.TRUE.equals(bounded));
     }
 }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OtherBoxes.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OtherBoxes.java
@@ -26,6 +26,9 @@
      */
     boolean isLongerRunning(String excludedBox);
 
+    /** @return the other boxes as witnesses of an owner that the store doesn't answer */
+    Witnesses witnesses();
+
     /** @return address at which the other boxes reach this box */
     String ownAddress();
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -279,8 +279,8 @@
         long storeLease = await(leaseGrant);
         byte[] termId = (box + TERM_SEPARATOR + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, replacedRevision)
-                .put(JobKeys.OWNER, termId, storeLease)
-                .put(JobKeys.JOURNAL, Json.write(JournalMark.first(box, otherBoxes.ownAddress())));
+                .put(JobKeys.OWNER, termId, storeLease).put(JobKeys.JOURNAL,
+                        Json.write(JournalMark.first(box, otherBoxes.ownAddress(), previousTerm.bounded())));
         if (replacedRevision == NO_OWNER_REVISION)
         {
             // Without an owner, only the journal ensures that no other term begins and ends before this one.
@@ -311,6 +311,10 @@
     /** Returns the term before the one to begin, as far as the journal tells. */
     private static PreviousTerm readPreviousTerm(Optional<StoredValue> journal, long replacedRevision)
     {
+        if (replacedRevision == NO_OWNER_REVISION && journal.isEmpty())
+        {
+            return PreviousTerm.BEFORE_FIRST;
+        }
         PreviousTerm recorded = journal.map(value -> JournalMark.readTerm(value, SteadyClock.nanos()))
                 .orElse(PreviousTerm.NONE);
         boolean isPrevious = replacedRevision == NO_OWNER_REVISION || recorded.fence() == replacedRevision;
@@ -349,10 +353,11 @@
         events.record(EventType.OWNER_BEGAN, box, "fence " + lease.fence());
         Supervisor termSupervisor = supervisor.child("term-" + lease.fence());
         owner = box;
-        EarlierLeases earlierLeases = new EarlierLeases(previousTerm, otherBoxes);
+        EarlierLeases earlierLeases = new EarlierLeases(previousTerm, otherBoxes, lease.fence());
         events.record(EventType.EARLIER_TERM, box, earlierLeases.describe());
-        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, earlierLeases, events, termSupervisor, config,
-                adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics, retentionNanos))
+        try (OwnerTerm newTerm = new OwnerTerm(platform, lease, earlierLeases, otherBoxes.witnesses(), events,
+                termSupervisor, config, adviceDispatcher, score, stopCosts, stoppedWork, copyStatistics,
+                retentionNanos))
         {
             currentTerm = Optional.of(newTerm);
             TermKeepAlive keepAlive = new TermKeepAlive(platform.store(), lease, events);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerLease.java
@@ -31,6 +31,10 @@
     private final AtomicReference<String> endReason = new AtomicReference<>();
     /** Monotonic time as of which the store has confirmed the term. */
     private final AtomicLong confirmedNanos;
+    /** Monotonic time as of which a witness has vouched for the term. */
+    private final AtomicLong vouchedNanos;
+    /** Whether leases may be renewed for as long as commands may be sent. */
+    private volatile boolean unwitnessed;
     /** Monotonic time at which the store last answered a renewal of the lease. */
     private volatile long renewedNanos = SteadyClock.nanos();
 
@@ -48,6 +52,7 @@
         this.ownerRevision = ownerRevision;
         this.storeLease = storeLease;
         this.confirmedNanos = new AtomicLong(sentNanos);
+        this.vouchedNanos = new AtomicLong(sentNanos);
     }
 
     /** Ends the term. Only the first reason is kept. */
@@ -67,7 +72,40 @@
      */
     void recordConfirmation(long sentNanos)
     {
-        confirmedNanos.accumulateAndGet(sentNanos, (known, sent) -> sent - known > 0 ? sent : known);
+        confirmedNanos.accumulateAndGet(sentNanos, OwnerLease::later);
+    }
+
+    /**
+     * Records that a witness has vouched for the term.
+     *
+     * @param sentNanos monotonic time at which the witness was asked
+     */
+    void recordVouch(long sentNanos)
+    {
+        vouchedNanos.accumulateAndGet(sentNanos, OwnerLease::later);
+    }
+
+    /** Sets whether leases may be renewed without witness for as long as commands may be sent. */
+    void setUnwitnessed(boolean value)
+    {
+        unwitnessed = value;
+    }
+
+    /**
+     * Returns the monotonic time from which leases of workers that are granted now count: the latest
+     * time at which no other box owned the cell, by the word of the store or of a witness. An owner
+     * that was paused or is cut off thus can't extend leases, whatever it sends.
+     */
+    long leaseBaseNanos()
+    {
+        return unwitnessed && maySendCommands()
+                ? SteadyClock.nanos()
+                : later(confirmedNanos.get(), vouchedNanos.get());
+    }
+
+    private static long later(long first, long second)
+    {
+        return second - first > 0 ? second : first;
     }
 
     /** Records that the store has answered a renewal of the lease. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerTerm.java
@@ -71,13 +71,14 @@
     private final LossReport lossReport;
     private final JobReader jobReader;
     private final ExpiringLeases expiringLeases;
+    private final TermWitnesses termWitnesses;
     private final WorkerSessions workerSessions;
     private final SummaryWriter summaryWriter;
 
-    OwnerTerm(CellPlatform platform, OwnerLease lease, EarlierLeases earlierLeases, EventLog events,
-            Supervisor supervisor, Supplier<CellConfig> config, AdviceDispatcher adviceDispatcher,
-            WorkerScore score, StopCosts stopCosts, StoppedWork stoppedWork, CopyStatistics copyStatistics,
-            long retentionNanos)
+    OwnerTerm(CellPlatform platform, OwnerLease lease, EarlierLeases earlierLeases, Witnesses witnesses,
+            EventLog events, Supervisor supervisor, Supplier<CellConfig> config,
+            AdviceDispatcher adviceDispatcher, WorkerScore score, StopCosts stopCosts,
+            StoppedWork stoppedWork, CopyStatistics copyStatistics, long retentionNanos)
     {
         this.retentionNanos = retentionNanos;
         this.stoppedWork = stoppedWork;
@@ -100,6 +101,7 @@
         this.copyPlanner = new CopyPlanner(cellState, planner, cellState::slowness);
         this.jobReader = new JobReader(this, platform.store(), this::startWorkerTasks);
         this.workerSessions = new WorkerSessions(this, platform, supervisor, config);
+        this.termWitnesses = new TermWitnesses(platform.store(), witnesses, lease, earlierLeases, events);
         this.expiringLeases = new ExpiringLeases(platform.store(), cellState, lease, events);
         this.summaryWriter = new SummaryWriter(platform.store(), cellState, lease, events);
     }
@@ -107,6 +109,7 @@
     /** Restores the state recorded by earlier owners and starts the tasks of the term. */
     void begin() throws InterruptedException
     {
+        supervisor.start("witnesses", termWitnesses);
         supervisor.start("earlier-leases", earlierLeases);
         expiringLeases.read();
         jobReader.readProgress();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
@@ -15,19 +15,25 @@
  * @param readNanos monotonic time after the record was read
  * @param served whether the owner wrote the record after it knew of its term; the transaction that
  *            begins a term may be carried out late, after the owner has ended
+ * @param bounded whether leases granted in this and earlier terms count from the last confirmation
+ *            by the store or word of a recorded witness; false for owners of earlier versions
  */
 public record PreviousTerm(long fence, String box, String address, long earlierLeaseNanos, long readNanos,
-        boolean served)
+        boolean served, boolean bounded)
 {
     private static final String UNKNOWN = "";
 
     /** Stands for an unknown term. */
     static final PreviousTerm NONE = ofFence(OwnerLease.UNKNOWN_FENCE);
 
+    /** Stands for the term before the first one, in which no lease was granted. */
+    static final PreviousTerm BEFORE_FIRST = new PreviousTerm(OwnerLease.UNKNOWN_FENCE, UNKNOWN, UNKNOWN, 0,
+            0, false, true);
+
     /** Returns a term of which only the fencing token is known. */
     static PreviousTerm ofFence(long fence)
     {
-        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0, false);
+        return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0, false, false);
     }
 
     /** Returns whether the owner and its address are known. */
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermKeepAlive.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermKeepAlive.java
@@ -24,7 +24,7 @@
 final class TermKeepAlive
 {
     private static final int RENEW_MILLIS = 300;
-    private static final int CONFIRM_MILLIS = 500;
+    private static final int CONFIRM_MILLIS = 250;
     /** Age from which a read answer is logged; the box was paused or the store is very slow. */
     private static final long LATE_MILLIS = 1_000;
 
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TrackedWorker.java
@@ -169,16 +169,16 @@
 
     /**
      * Returns the deadline for a command that keeps the runs of the worker alive for the given time
-     * from now. While the lease is left to expire, returns the newest deadline that was sent, or 0 if
-     * there is none.
+     * from a base. While the lease is left to expire, returns the newest deadline that was sent, or 0
+     * if there is none.
      */
-    long extendDeadline(long leaseMillis, long nowNanos)
+    long extendDeadline(long leaseMillis, long baseNanos)
     {
         if (clockMillis == 0 || leaseExpiring)
         {
             return deadlineMillis;
         }
-        long deadline = clockMillis + (nowNanos - clockUpdatedNanos) / NANOS_PER_MILLI + leaseMillis;
+        long deadline = clockMillis + (baseNanos - clockUpdatedNanos) / NANOS_PER_MILLI + leaseMillis;
         deadlineMillis = Math.max(deadlineMillis, deadline);
         updateLeaseEnd();
         return deadline;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
@@ -99,7 +99,8 @@
             Task task = start.task();
             long nowNanos = SteadyClock.nanos();
             task.markSent(nowNanos);
-            long deadlineMillis = worker.extendDeadline(WorkerSession.LEASE_MILLIS, nowNanos);
+            long deadlineMillis = worker.extendDeadline(WorkerSession.LEASE_MILLIS,
+                    term.lease().leaseBaseNanos());
             return new StartCommand(task.name(), start.run(), task.step().job().record().job().spec(),
                     deadlineMillis, term.lease().fence(), start.checkpoint(), newestTicket(start));
         }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerSession.java
@@ -175,7 +175,7 @@
         synchronized (term.cellState())
         {
             long deadlineMillis = reachable
-                    ? worker.extendDeadline(LEASE_MILLIS, SteadyClock.nanos())
+                    ? worker.extendDeadline(LEASE_MILLIS, term.lease().leaseBaseNanos())
                     : KEEP_LEASE;
             boolean isFirst = !worker.isLeaseHeld();
             return new HeartbeatRequest(term.lease().fence(), lastAckedEnd, deadlineMillis,
--- a/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/BoxRegistryTest.java
@@ -42,7 +42,7 @@
             (step, workers, timeout) -> new Advice(List.of(), 0), events);
     private final PeerTermProbe termProbe = new PeerTermProbe("self", "127.0.0.1:2", directory);
     private final BoxRegistry registry = new BoxRegistry("self", new BoxRegistry.Entry("127.0.0.1:2", 700),
-            new FakeStore(), directory, termProbe, adviceDispatcher, events);
+            new FakeStore(), directory, termProbe, "hall", adviceDispatcher, events);
 
     @AfterEach
     void close()
@@ -95,7 +95,7 @@
     {
         FakeStore store = new FakeStore();
         BoxRegistry late = new BoxRegistry("late", new BoxRegistry.Entry("127.0.0.1:3", 700), store,
-                directory, termProbe, adviceDispatcher, events);
+                directory, termProbe, "hall", adviceDispatcher, events);
         store.holdWrites(1, HELD_MILLIS);
         try (Supervisor supervisor = new Supervisor("test", events))
         {
@@ -118,14 +118,14 @@
         store.holdWrites(1, HELD_MILLIS);
         try (Supervisor supervisor = new Supervisor("ended", events))
         {
-            supervisor.start("registry",
-                    new BoxRegistry("a~1", entry, store, directory, termProbe, adviceDispatcher, events));
+            supervisor.start("registry", new BoxRegistry("a~1", entry, store, directory, termProbe, "hall",
+                    adviceDispatcher, events));
             assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, store::hasHeldWrites)).isTrue();
         }
         try (Supervisor supervisor = new Supervisor("successor", events))
         {
-            supervisor.start("registry",
-                    new BoxRegistry("a~2", entry, store, directory, termProbe, adviceDispatcher, events));
+            supervisor.start("registry", new BoxRegistry("a~2", entry, store, directory, termProbe, "hall",
+                    adviceDispatcher, events));
             assertThat(becomesRegistered(store, "a~2")).isTrue();
             store.deliverHeldWrites();
             assertThat(store.get(JobKeys.BOXES + "a~2")).isPresent();
--- a/gaugehollow/src/test/java/org/gaugehollow/box/PeerOwnerProbeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerOwnerProbeTest.java
@@ -51,7 +51,7 @@
     private final NetLoops loops = new NetLoops(Optional.empty());
     private final PeerDirectory directory = new PeerDirectory(loops, events, new Metrics());
     private final BoxRegistry registry = new BoxRegistry("self", new BoxRegistry.Entry("127.0.0.1:2", 700),
-            new FakeStore(), directory, new PeerTermProbe("self", "127.0.0.1:2", directory),
+            new FakeStore(), directory, new PeerTermProbe("self", "127.0.0.1:2", directory), "hall",
             new AdviceDispatcher((step, workers, timeout) -> new Advice(List.of(), 0), events), events);
     private final List<TimedBacklog> backlogs = new ArrayList<>();
     private final PeerOwnerProbe probe = new PeerOwnerProbe(registry, backlogs::add);
--- a/gaugehollow/src/test/java/org/gaugehollow/box/PeerTermProbeTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/box/PeerTermProbeTest.java
@@ -64,7 +64,7 @@
 
     private OptionalLong endNanos(String box, String address) throws InterruptedException
     {
-        return probe.endNanos(new PreviousTerm(FENCE, box, address, 0, 0, true));
+        return probe.endNanos(new PreviousTerm(FENCE, box, address, 0, 0, true, false));
     }
 
     @Test
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
@@ -7,6 +7,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +21,8 @@
 class EarlierLeasesTest
 {
     private static final String OWNER = "bole-1";
+    private static final String WITNESS = "127.0.0.1:2";
+    private static final String OTHER_WITNESS = "127.0.0.1:3";
     private static final long FENCE = 7;
     private static final long LEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerSession.LEASE_MILLIS);
     private static final long MAX_MILLIS = TimeUnit.NANOSECONDS.toMillis(EarlierLeases.MAX_NANOS);
@@ -36,7 +40,7 @@
     private EarlierLeases earlierLeases(long earlierLeaseNanos, boolean served)
     {
         return new EarlierLeases(new PreviousTerm(FENCE, OWNER, FakeOtherBoxes.ADDRESS, earlierLeaseNanos,
-                SteadyClock.nanos(), served), otherBoxes);
+                SteadyClock.nanos(), served, false), otherBoxes, FENCE + 1);
     }
 
     private static OptionalLong probe(EarlierLeases leases) throws InterruptedException
@@ -49,7 +53,7 @@
 
     private long ownerEndNanos()
     {
-        return otherBoxes.termEndNanos(new PreviousTerm(FENCE, OWNER, "", 0, 0, true)).orElseThrow();
+        return otherBoxes.termEndNanos(new PreviousTerm(FENCE, OWNER, "", 0, 0, true, false)).orElseThrow();
     }
 
     @Test
@@ -111,8 +115,9 @@
     void nothingIsKnownOfAnUnknownOwner() throws InterruptedException
     {
         otherBoxes.end(PreviousTerm.NONE.box());
-        assertThat(probe(new EarlierLeases(PreviousTerm.NONE, otherBoxes))).isEqualTo(OptionalLong.empty());
-        assertThat(probe(new EarlierLeases(PreviousTerm.ofFence(FENCE), otherBoxes)))
+        assertThat(probe(new EarlierLeases(PreviousTerm.NONE, otherBoxes, FENCE + 1)))
+                .isEqualTo(OptionalLong.empty());
+        assertThat(probe(new EarlierLeases(PreviousTerm.ofFence(FENCE), otherBoxes, FENCE + 1)))
                 .isEqualTo(OptionalLong.empty());
     }
 
@@ -124,7 +129,7 @@
     void termThatHasJustBegunLeavesTheLongestWait()
     {
         long nowNanos = SteadyClock.nanos();
-        StoredValue journal = value(Json.write(JournalMark.first(OWNER, FakeOtherBoxes.ADDRESS)));
+        StoredValue journal = value(Json.write(JournalMark.first(OWNER, FakeOtherBoxes.ADDRESS, true)));
         PreviousTerm term = JournalMark.readTerm(journal, nowNanos);
         assertThat(term.fence()).isEqualTo(FENCE);
         assertThat(term.box()).isEqualTo(OWNER);
@@ -144,6 +149,68 @@
         assertThat(JournalMark.readTerm(first, 0)).isEqualTo(PreviousTerm.ofFence(FENCE));
     }
 
+    private EarlierLeases boundedLeases(WitnessRecord witnesses)
+    {
+        EarlierLeases leases = new EarlierLeases(new PreviousTerm(FENCE, OWNER, FakeOtherBoxes.ADDRESS,
+                EarlierLeases.MAX_NANOS, SteadyClock.nanos(), true, true), otherBoxes, FENCE + 1);
+        leases.setWitnessRecord(witnesses);
+        return leases;
+    }
+
+    /** Guards against waiting 14.5 s for an owner whose machine is gone for good. */
+    @Test
+    void answersOfAllWitnessesBoundTheLeasesOfAnOwnerThatIsGone() throws InterruptedException
+    {
+        otherBoxes.witnesses().add(WITNESS, true);
+        otherBoxes.witnesses().add(OTHER_WITNESS, false);
+        EarlierLeases leases = boundedLeases(new WitnessRecord(List.of(WITNESS, OTHER_WITNESS), false));
+        long beginNanos = SteadyClock.nanos();
+        assertThat(probe(leases).orElseThrow()).isAtMost(beginNanos + LEASE_NANOS + LEASE_NANOS / 10);
+        assertThat(leases.unresolvedWitnesses()).isEmpty();
+    }
+
+    /** Guards against two runs of a task, because a witness vouched after the term had begun. */
+    @Test
+    void leasesCountFromTheLastWordOfAWitness() throws InterruptedException
+    {
+        otherBoxes.witnesses().add(WITNESS, true);
+        EarlierLeases leases = boundedLeases(new WitnessRecord(List.of(WITNESS), false));
+        Thread.sleep(DOWNTIME_MILLIS);
+        assertThat(otherBoxes.witnesses().vouch(WITNESS, FENCE).vouches()).isTrue();
+        assertThat(probe(leases).orElseThrow())
+                .isAtLeast(otherBoxes.witnesses().lastVouchNanos(WITNESS) + LEASE_NANOS);
+        assertThat(otherBoxes.witnesses().vouch(WITNESS, FENCE).vouches()).isFalse();
+    }
+
+    /** Guards against two runs of a task, because a witness that doesn't answer may vouch. */
+    @Test
+    void witnessWithoutAnAnswerLeavesTheLongestWait() throws InterruptedException
+    {
+        otherBoxes.witnesses().add(WITNESS, true);
+        EarlierLeases leases = boundedLeases(new WitnessRecord(List.of(WITNESS, OTHER_WITNESS), false));
+        assertThat(probe(leases)).isEqualTo(OptionalLong.empty());
+        assertThat(leases.unresolvedWitnesses()).containsExactly(OTHER_WITNESS);
+        assertThat(leases.remainingMillis()).isGreaterThan(MAX_MILLIS - TimeUnit.SECONDS.toMillis(5));
+    }
+
+    @Test
+    void ownerThatNeedsNoWitnessLeavesTheLongestWait() throws InterruptedException
+    {
+        assertThat(probe(boundedLeases(new WitnessRecord(List.of(), true)))).isEqualTo(OptionalLong.empty());
+        EarlierLeases unread = boundedLeases(
+                WitnessRecord.read(Optional.of(value("?".getBytes(StandardCharsets.UTF_8)))));
+        assertThat(probe(unread)).isEqualTo(OptionalLong.empty());
+    }
+
+    /** Guards against two runs of a task, because earlier versions renew leases without witness. */
+    @Test
+    void ownerOfAnEarlierVersionLeavesTheLongestWait() throws InterruptedException
+    {
+        EarlierLeases leases = earlierLeases(EarlierLeases.MAX_NANOS);
+        leases.setWitnessRecord(WitnessRecord.NONE);
+        assertThat(probe(leases)).isEqualTo(OptionalLong.empty());
+    }
+
     private static StoredValue value(byte[] bytes)
     {
         return new StoredValue("journal", bytes, FENCE);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOtherBoxes.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeOtherBoxes.java
@@ -19,6 +19,7 @@
     static final String ADDRESS = "127.0.0.1:1";
 
     private final Map<String, Long> ends = new ConcurrentHashMap<>();
+    private final FakeWitnesses witnesses = new FakeWitnesses();
     private volatile boolean outranked;
     private volatile boolean longerRunning;
 
@@ -50,6 +51,12 @@
         return longerRunning;
     }
 
+    @Override
+    public FakeWitnesses witnesses()
+    {
+        return witnesses;
+    }
+
     @Override
     public String ownAddress()
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/JournalTest.java
@@ -52,7 +52,7 @@
                 .put(JobKeys.JOURNAL, TERM)).orElseThrow();
         owner = new OwnerLease("box", revision, 1, OwnerLease.UNKNOWN_FENCE, SteadyClock.nanos());
         journal = new Journal(store, cellState, owner,
-                new EarlierLeases(PreviousTerm.NONE, new FakeOtherBoxes()), events);
+                new EarlierLeases(PreviousTerm.NONE, new FakeOtherBoxes(), 1), events);
         supervisor.start("journal", journal);
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TestTerm.java
@@ -31,6 +31,7 @@
     /** Configuration without customers. */
     static final CellConfig CONFIG = new CellConfig(1, List.of(), List.of("service"), Customers.NONE);
 
+    private final FakeOtherBoxes otherBoxes = new FakeOtherBoxes();
     private final Supervisor supervisor;
     private final OwnerLease lease;
     private final OwnerTerm term;
@@ -63,14 +64,15 @@
         long previousFence = platform.store().get(JobKeys.OWNER).map(StoredValue::modRevision)
                 .orElse(OwnerLease.UNKNOWN_FENCE);
         long revision = platform.store().commit(new StoreTransaction().put(JobKeys.OWNER, ownerValue)
-                .put(JobKeys.JOURNAL, Json.write(JournalMark.first(box, FakeOtherBoxes.ADDRESS))))
+                .put(JobKeys.JOURNAL, Json.write(JournalMark.first(box, FakeOtherBoxes.ADDRESS, false))))
                 .orElseThrow();
         supervisor = new Supervisor(box, events);
         lease = new OwnerLease(box, revision, 1, previousFence, SteadyClock.nanos());
-        EarlierLeases earlierLeases = new EarlierLeases(PreviousTerm.NONE, new FakeOtherBoxes());
-        term = new OwnerTerm(platform, lease, earlierLeases, events, supervisor.child("term"), config,
-                new AdviceDispatcher(platform.advice(), events), new WaitingFirstScore(0.5),
-                StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT), new CopyStatistics(), retentionNanos);
+        EarlierLeases earlierLeases = new EarlierLeases(PreviousTerm.NONE, otherBoxes, revision);
+        term = new OwnerTerm(platform, lease, earlierLeases, otherBoxes.witnesses(), events,
+                supervisor.child("term"), config, new AdviceDispatcher(platform.advice(), events),
+                new WaitingFirstScore(0.5), StopCosts.DEFAULT, new StoppedWork(StopCosts.DEFAULT),
+                new CopyStatistics(), retentionNanos);
         startConfirming();
         term.begin();
     }
@@ -97,6 +99,11 @@
         supervisor.stop(CONFIRMATIONS);
     }
 
+    FakeOtherBoxes otherBoxes()
+    {
+        return otherBoxes;
+    }
+
     OwnerLease lease()
     {
         return lease;
