Jobs: one whose starts were refused or lost counts as waiting and is shown as queued

Cause: a job counted as begun once a start was planned, before it was sent; nothing took that back. Change: a job waits until a worker has told of a run of it: by the answer to a start, a heartbeat or an end. It is still shown as running from the placement on, but as queued again once all its starts were refused or are known not to have arrived, until a worker has begun one. Why it works: the count no longer depends on what was planned; the state is written whenever it goes back or forth.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -279,6 +279,25 @@
         }
     }
 
+    /** Releases a task from a worker that has not begun its run. */
+    static void releaseNeverStarted(Task task, Effects effects)
+    {
+        release(task, effects);
+        Job job = task.step().job();
+        writeIfStateChanges(job, effects, job::requeueIfNotStarted);
+    }
+
+    /** Applies an event and marks the job as changed if its state has changed. */
+    static void writeIfStateChanges(Job job, Effects effects, Runnable event)
+    {
+        JobState before = job.state();
+        event.run();
+        if (job.state() != before)
+        {
+            effects.markChanged(job);
+        }
+    }
+
     /** Releases a task, or a copy that ends without completing its task, from its worker. */
     static void releaseRun(Task run, Effects effects)
     {
@@ -347,7 +366,7 @@
         }
         long now = nanoTime.getAsLong();
         reportedTasks.add(known);
-        known.markRunning(now);
+        writeIfStateChanges(known.step().job(), effects, () -> known.markRunning(now));
         known.onListed(sentNanos);
         known.observe(run.percent(), run.gauge(), now);
         saveCheckpoint(known, run.checkpoint());
@@ -375,7 +394,12 @@
                     && task.settledNanos() < sentNanos;
             if (!reportedTasks.contains(task) && wasSettledBefore)
             {
+                if (task.isRestoredUnseen())
+                {
+                    task.step().job().onRecordedRunMissing();
+                }
                 releaseLost(task, effects);
+                task.step().job().requeueIfNotStarted();
             }
         }
     }
@@ -426,13 +450,17 @@
         return completions;
     }
 
-    /** Returns the number of jobs per queue that have not started, without repeated jobs. */
+    /**
+     * Returns the number of jobs per queue that no worker is known to have started, without repeated
+     * jobs.
+     */
     Map<String, Integer> countQueuedJobs()
     {
         Map<String, Integer> counts = new TreeMap<>();
         for (Job job : jobs.values())
         {
-            if (job.state() == JobState.QUEUED && job.record().job().repeatCount() == 0)
+            boolean isWaiting = !job.state().isFinal() && !job.hasStarted();
+            if (isWaiting && job.record().job().repeatCount() == 0)
             {
                 counts.merge(job.queue().name(), 1, Integer::sum);
             }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Job.java
@@ -35,6 +35,12 @@
     /** Null until the job is planned for the first time. */
     private JobUrgency urgency;
     private JobState state = JobState.QUEUED;
+    /** Whether a worker is known to have begun a run of the job. */
+    private boolean started;
+    /** Whether {@link #started} follows only from the state that an earlier owner recorded. */
+    private boolean startAssumed;
+    /** Whether all starts so far were taken back. */
+    private boolean requeued;
     private QueueSpec queue;
     private long changeCount;
     private long changeCountInWrite;
@@ -378,6 +384,67 @@
         state = newState;
     }
 
+    /** Restores the state recorded by an earlier owner, which may not have sent the recorded starts. */
+    void restoreState(JobState recorded)
+    {
+        state = recorded;
+        started = recorded != JobState.QUEUED;
+        startAssumed = started;
+    }
+
+    /**
+     * Records that a start is to be sent. The job is shown as running, since most starts succeed,
+     * unless others were taken back before.
+     */
+    void onStartPlanned()
+    {
+        if (state == JobState.QUEUED && !requeued)
+        {
+            state = JobState.RUNNING;
+        }
+    }
+
+    /** Records that a worker has begun a run of the job, which is shown as running from now on. */
+    void markStarted()
+    {
+        started = true;
+        startAssumed = false;
+        if (state == JobState.QUEUED)
+        {
+            state = JobState.RUNNING;
+        }
+    }
+
+    /**
+     * Records that a run which an earlier owner recorded was never begun. The job has not started if
+     * nothing else shows that it has.
+     */
+    void onRecordedRunMissing()
+    {
+        boolean hasOtherSign = steps().stream().flatMap(step -> step.tasks().stream())
+                .anyMatch(Task::showsEarlierRun);
+        if (startAssumed && !hasOtherSign)
+        {
+            started = false;
+        }
+    }
+
+    /** Returns whether a worker is known to have begun a run of the job. */
+    boolean hasStarted()
+    {
+        return started;
+    }
+
+    /** Shows the job as queued once all its starts were taken back. */
+    void requeueIfNotStarted()
+    {
+        if (state == JobState.RUNNING && !started && tasksOnWorkers().isEmpty())
+        {
+            state = JobState.QUEUED;
+            requeued = true;
+        }
+    }
+
     String id()
     {
         return record.id();
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
@@ -52,7 +52,7 @@
             throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER,
                     "the progress does not fit the job's steps");
         }
-        job.setState(progress.state());
+        job.restoreState(progress.state());
         for (int roundIndex = 0; roundIndex < progress.rounds().size(); roundIndex++)
         {
             RoundProgress round = progress.rounds().get(roundIndex);
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Planner.java
@@ -13,7 +13,6 @@
 import java.util.function.Predicate;
 
 import org.gaugehollow.job.Customers;
-import org.gaugehollow.job.JobState;
 import org.gaugehollow.model.ComputeResources;
 import org.gaugehollow.placement.WorkerScore;
 import org.gaugehollow.urgency.Outlook;
@@ -161,9 +160,9 @@
             placeEach(step, usable, plan, nowNanos);
         }
         boolean hasStarted = plan.starts().size() > startsBefore;
-        if (hasStarted && step.job().state() == JobState.QUEUED)
+        if (hasStarted)
         {
-            step.job().setState(JobState.RUNNING);
+            step.job().onStartPlanned();
         }
         if (!step.hasWaiting() || waitsForQuota(step, plan))
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunEndHandler.java
@@ -52,6 +52,7 @@
             handleDuplicateEnd(task, worker, end, effects);
             return;
         }
+        job.markStarted();
         effects.markChanged(job);
         CellState.saveCheckpoint(run, end.checkpoint());
         if (end.how() == RunEnd.DONE && !task.step().spec().longRunning())
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/RunState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/RunState.java
@@ -168,6 +168,7 @@
         if (phase == Phase.ORDERED)
         {
             phase = Phase.RUNNING;
+            step.job().markStarted();
             mayHaveStarted = true;
             hasStarted = true;
             restoredUnseen = false;
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -375,6 +375,12 @@
         return checkpoint;
     }
 
+    /** Returns whether the recorded progress shows that a run was begun before the latest one. */
+    boolean showsEarlierRun()
+    {
+        return phase() == Phase.DONE || run() > 1 || failures > 0 || checkpoint != null || !crashes.isEmpty();
+    }
+
     /** Returns the duration of the successful run, in milliseconds, or 0 if unknown. */
     long runMillis()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
@@ -199,7 +199,7 @@
      */
     private static void release(Task task, Effects effects)
     {
-        CellState.release(task, effects);
+        CellState.releaseNeverStarted(task, effects);
         if (task.step().spec().gang())
         {
             task.step().stopAll(effects);
@@ -239,13 +239,19 @@
             }
             if (result == CommandResult.DONE)
             {
-                task.onStartAnswered(nowNanos);
-                return;
+                CellState.writeIfStateChanges(task.step().job(), effects,
+                        () -> task.onStartAnswered(nowNanos));
+            }
+            else
+            {
+                handleRefusal(task, result, nowNanos, effects);
             }
-            handleRefusal(task, result, nowNanos, effects);
         }
         term.apply(effects);
-        term.wake();
+        if (result != CommandResult.DONE)
+        {
+            term.wake();
+        }
     }
 
     private void handleRefusal(Task task, CommandResult result, long nowNanos, Effects effects)
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWorker.java
@@ -193,6 +193,12 @@
         delaysStarts = true;
     }
 
+    /** Sets whether all starts and stops are refused. */
+    synchronized void setUnhealthy(boolean value)
+    {
+        unhealthy = value;
+    }
+
     /** Ends the delay of starts. */
     synchronized void releaseStarts()
     {
