Speculative tasks: a failed run that an earlier owner abandoned counts

Cause: which runs were abandoned on an unresponsive worker was held in memory; the next owner acknowledged the end of such a run without counting it. Evidence: UnresponsiveWorkerGuardTest.nextOwnerCountsFailureOfAbandonedRun failed on the code before ("expected: 1 but was: 0"). Why it works: the next owner knows the run by number and worker, as it knows a copy, so its end counts once and its success completes the task.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -217,6 +217,7 @@
         Effects effects = new Effects();
         worker.setLeaseHeld(false);
         worker.clearOrphanRuns();
+        worker.abandonedRuns().forEach(run -> run.task().endAbandonedRun(run.run()));
         List<Task> poisonTasks = crashGuard.onWorkerLost(worker, cause, effects);
         for (Task task : worker.tasks())
         {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -4,8 +4,9 @@
  */
 package org.gaugehollow.schedule;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.Collections;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 
 import org.gaugehollow.job.CrashHistory;
 import org.gaugehollow.job.CrashHistory.Attribution;
@@ -41,8 +42,8 @@
      * Derived from the crash history; cached because it is read for each pair of a task and a worker.
      */
     private boolean suspect;
-    /** Runs abandoned on unresponsive workers; each may still be running or may have ended. */
-    private Set<Integer> abandonedRuns = Set.of();
+    /** Workers of abandoned runs by run number; each run may still be active or may have ended. */
+    private NavigableMap<Integer, String> abandonedRuns = Collections.emptyNavigableMap();
     private boolean doneByAbandonedRun;
 
     Task(Step step, int index)
@@ -113,6 +114,11 @@
         {
             return new CopyProgress(copy.run(), copy.worker().id());
         }
+        if (!abandonedRuns.isEmpty() && phase() != Phase.DONE)
+        {
+            // The next owner has to count its end, like that of a copy.
+            return new CopyProgress(abandonedRuns.lastKey(), abandonedRuns.lastEntry().getValue());
+        }
         return wasCopied && phase() != Phase.DONE ? new CopyProgress(highestRun, null) : null;
     }
 
@@ -223,8 +229,8 @@
     /** Abandons the current run on its worker so that another run can start elsewhere. */
     void abandonRun()
     {
-        Set<Integer> withCurrent = new HashSet<>(task().abandonedRuns);
-        withCurrent.add(run());
+        NavigableMap<Integer, String> withCurrent = new TreeMap<>(task().abandonedRuns);
+        withCurrent.put(run(), worker().id());
         task().abandonedRuns = withCurrent;
         release();
     }
@@ -238,7 +244,7 @@
     /** Removes an abandoned run that has ended; returns false if no abandoned run has that number. */
     boolean endAbandonedRun(int number)
     {
-        return abandonedRuns.contains(number) && abandonedRuns.remove(number);
+        return abandonedRuns.containsKey(number) && abandonedRuns.remove(number) != null;
     }
 
     /**
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/UnresponsiveWorkerGuardTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/UnresponsiveWorkerGuardTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.gaugehollow.job.JobCodec;
 import org.gaugehollow.job.JobState;
 import org.gaugehollow.job.StepSpec;
 import org.gaugehollow.placement.WaitingFirstScore;
@@ -143,6 +144,39 @@
         assertThat(task.failures()).isEqualTo(1);
     }
 
+    /** Guards against a start beyond the allowed attempts, because the next owner missed a failure. */
+    @Test
+    void nextOwnerCountsFailureOfAbandonedRun()
+    {
+        Planner.Start start = startOf(SPECULATIVE);
+        becomeUnresponsive(start.worker());
+        assertThat(plan()).hasSize(1);
+        CellState next = new CellState(clock::get, TimeUnit.SECONDS.toNanos(13));
+        TrackedWorker first = next.updateWorker(start.worker().entry());
+        TrackedWorker second = next.updateWorker(start.task().worker().entry());
+        next.accept(start.task().step().job().record(), 1,
+                JobCodec.readProgress(JobCodec.writeProgress(start.task().step().job().progress())), 0);
+        Task task = next.findTask(start.task().name());
+        next.applyHeartbeat(first,
+                TestJobs.heartbeatReply(List.of(), List.of(TestJobs.endedRun(1, task, 1, RunEnd.FAILED))), 0,
+                clock.addAndGet(1_000_000));
+        assertThat(task.failures()).isEqualTo(1);
+        next.applyHeartbeat(second,
+                TestJobs.heartbeatReply(List.of(), List.of(TestJobs.endedRun(1, task, 2, RunEnd.FAILED))), 0,
+                clock.addAndGet(1_000_000));
+        assertThat(task.step().job().state()).isEqualTo(JobState.FAILED);
+    }
+
+    @Test
+    void abandonedRunOfLostWorkerIsNotRecorded()
+    {
+        Planner.Start start = startOf(SPECULATIVE);
+        becomeUnresponsive(start.worker());
+        assertThat(start.task().progress().copy().worker()).isEqualTo(start.worker().id());
+        cellState.onWorkerLost(start.worker(), WorkerLossCause.LAPSED);
+        assertThat(start.task().progress().copy()).isNull();
+    }
+
     @Test
     void stopsAbandonedRunBeforeItsWorkerAcceptsStarts()
     {
