KeyTracker: an entry of a listing on which the listener fails is given up

Cause: a single change on which a listener fails without a code was given up after three deliveries, but a listing began anew each time and never completed, so the entries after the odd one and all removals stayed unseen. Evidence: KeyFollowerTest, 3 of the new tests failed on the code before (expected: keys/b but was: null, after 15 s). Change: KeyTracker decides for changes, listings and polled listings alike; a new value of the entry is delivered again. Why it works: an entry costs two more deliveries and then nothing, whatever the listener does with it. Result (x86_64): KeyFollowerTest (7) passes.

--- a/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/KeyFollower.java
@@ -4,9 +4,7 @@
  */
 package org.gaugehollow.platform;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -25,8 +23,6 @@
     private static final int POLL_MILLIS = 2_000;
     private static final int MIN_RETRY_DELAY_MILLIS = 50;
     private static final int MAX_RETRY_DELAY_MILLIS = 400;
-    /** Number of deliveries after which a change on which the listener fails is given up. */
-    private static final int MAX_DELIVERIES = 3;
     private static final long NOT_LISTED = -1;
 
     /** Receives the state and the changes of the followed keys. */
@@ -61,8 +57,6 @@
     private final String prefix;
     private final KeyTracker tracker;
     private final EventLog events;
-    /** Number of failed deliveries by change, since the last delivery of all polled changes. */
-    private final Map<String, Integer> failedDeliveries = new HashMap<>();
     private long revision = NOT_LISTED;
     private boolean watchLost;
 
@@ -76,7 +70,7 @@
     {
         this.store = store;
         this.prefix = prefix;
-        this.tracker = new KeyTracker(listener);
+        this.tracker = new KeyTracker(listener, events);
         this.events = events;
     }
 
@@ -144,35 +138,13 @@
         for (StoreChange change : changes)
         {
             revision = Math.max(revision, change.revision() - 1);
-            deliverOrGiveUp(change);
+            deliver(change);
         }
         if (!changes.isEmpty())
         {
             revision = changes.getLast().revision();
         }
-        failedDeliveries.clear();
-    }
-
-    /**
-     * Delivers a change. One on which the listener fails each time is given up, so that it does not
-     * hold up all later ones.
-     */
-    private void deliverOrGiveUp(StoreChange change)
-    {
-        try
-        {
-            deliver(change);
-        }
-        catch (RuntimeException e)
-        {
-            String id = change.key() + '@' + change.revision();
-            if (failedDeliveries.merge(id, 1, Integer::sum) < MAX_DELIVERIES)
-            {
-                throw e;
-            }
-            events.record(EventType.INTERNAL_FAULT, change.key(), "change at revision " + change.revision()
-                    + " given up after " + MAX_DELIVERIES + " deliveries: " + e);
-        }
+        tracker.onChangesDelivered();
     }
 
     private void recordRegained()
--- a/gaugehollow/src/main/java/org/gaugehollow/platform/KeyPoller.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/platform/KeyPoller.java
@@ -35,7 +35,7 @@
         this.store = store;
         this.prefix = prefix;
         this.periodMillis = periodMillis;
-        this.tracker = new KeyTracker(listener);
+        this.tracker = new KeyTracker(listener, events);
         this.events = events;
     }
 
--- a/gaugehollow/src/test/java/org/gaugehollow/platform/KeyFollowerTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/platform/KeyFollowerTest.java
@@ -14,6 +14,7 @@
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.schedule.TestJobs;
 import org.gaugehollow.supervise.Supervisor;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +28,8 @@
     private final FakeStore store = new FakeStore();
     private final EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
     private final Supervisor supervisor = new Supervisor("test", events);
+    private static final int POLL_MILLIS = 50;
+
     private final BlockingQueue<String> delivered = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> listings = new LinkedBlockingQueue<>();
     private final AtomicInteger deliveriesToFail = new AtomicInteger();
@@ -105,4 +108,55 @@
         assertThat(delivered.poll(3, TimeUnit.SECONDS)).isEqualTo("-" + PREFIX + "a");
         assertThat(delivered.poll(500, TimeUnit.MILLISECONDS)).isNull();
     }
+
+    /**
+     * Guards against one entry of a listing that the listener always fails on and that hides the
+     * others.
+     */
+    @Test
+    void entriesOfListingAfterOneThatAlwaysFailsAreDelivered() throws InterruptedException
+    {
+        keyToFail = PREFIX + "a";
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE).put(PREFIX + "b", VALUE));
+        supervisor.start("follower", new KeyFollower(store, PREFIX, new Recorder(), events));
+        assertThat(delivered.poll(15, TimeUnit.SECONDS)).isEqualTo(PREFIX + "b");
+        assertThat(listings.poll(3, TimeUnit.SECONDS)).isNotNull();
+        store.commit(new StoreTransaction().put(PREFIX + "c", VALUE));
+        assertThat(delivered.poll(3, TimeUnit.SECONDS)).isEqualTo(PREFIX + "c");
+    }
+
+    @Test
+    void entriesOfListingAreDeliveredAgainAfterTheListenerFails() throws InterruptedException
+    {
+        deliveriesToFail.set(1);
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE));
+        supervisor.start("follower", new KeyFollower(store, PREFIX, new Recorder(), events));
+        assertThat(delivered.poll(3, TimeUnit.SECONDS)).isEqualTo(PREFIX + "a");
+    }
+
+    /** Guards against a list that is followed no more because of one entry in it. */
+    @Test
+    void pollerFollowsTheOtherEntriesAtItsPace() throws InterruptedException
+    {
+        keyToFail = PREFIX + "a";
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE).put(PREFIX + "b", VALUE));
+        supervisor.start("poller", new KeyPoller(store, PREFIX, POLL_MILLIS, new Recorder(), events));
+        assertThat(delivered.poll(15, TimeUnit.SECONDS)).isEqualTo(PREFIX + "b");
+        store.commit(new StoreTransaction().put(PREFIX + "c", VALUE).delete(PREFIX + "b"));
+        assertThat(TestJobs.waitUntil(3_000, () -> delivered.contains(PREFIX + "c"))).isTrue();
+        assertThat(TestJobs.waitUntil(3_000, () -> delivered.contains("-" + PREFIX + "b"))).isTrue();
+    }
+
+    /** The entry may have been mended by its writer. */
+    @Test
+    void newValueOfAnEntryThatWasGivenUpIsDelivered() throws InterruptedException
+    {
+        keyToFail = PREFIX + "a";
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE).put(PREFIX + "b", VALUE));
+        supervisor.start("poller", new KeyPoller(store, PREFIX, POLL_MILLIS, new Recorder(), events));
+        assertThat(delivered.poll(15, TimeUnit.SECONDS)).isEqualTo(PREFIX + "b");
+        keyToFail = null;
+        store.commit(new StoreTransaction().put(PREFIX + "a", VALUE));
+        assertThat(TestJobs.waitUntil(3_000, () -> delivered.contains(PREFIX + "a"))).isTrue();
+    }
 }
