Stored values without a state, a time or an address are refused with a code

With one such value in the store a new owner never began to work (progress without a state, a record of expiring leases with a missing time), or the list of boxes was followed no more (a registration without an address). Cause: these values were read without a check and failed later, outside of what the readers handle. Change: they are checked as they are read; progress must fit the job's steps down to each task. Why it works: the readers skip what is refused with a code: that job, that box, or what is known of earlier leases.

--- a/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/BoxRegistry.java
@@ -20,6 +20,7 @@
 import org.gaugehollow.model.GaugehollowException;
 import org.gaugehollow.model.Json;
 import org.gaugehollow.model.ResultCode;
+import org.gaugehollow.net.NetAddress;
 import org.gaugehollow.peer.PeerDirectory;
 import org.gaugehollow.peer.generated.PeerProtocol.Frame;
 import org.gaugehollow.platform.KeyFollower;
@@ -64,6 +65,11 @@
      */
     record Entry(String address, int processorMillis)
     {
+        /** Rejects an address that can't be called. */
+        Entry
+        {
+            NetAddress.parse(address);
+        }
     }
 
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/box/JobIntake.java
@@ -401,7 +401,7 @@
             String queue = count.getKey();
             boolean isCounted = queue.equals(scope.queue().name())
                     || config.queue(queue).isEmpty() && addresses.wereAcceptedAt(scope, queue);
-            sum += isCounted ? count.getValue() : 0;
+            sum += isCounted && count.getValue() != null ? count.getValue() : 0;
         }
         return sum;
     }
--- a/gaugehollow/src/main/java/org/gaugehollow/job/JobCodec.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/job/JobCodec.java
@@ -60,7 +60,12 @@
      */
     public static JobProgress readProgress(byte[] bytes)
     {
-        return Json.read(bytes, JobProgress.class, ResultCode.STORE_BAD_ANSWER);
+        JobProgress progress = Json.read(bytes, JobProgress.class, ResultCode.STORE_BAD_ANSWER);
+        if (progress.state() == null)
+        {
+            throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER, "state: is required");
+        }
+        return progress;
     }
 
     private static byte[] write(Object value)
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/ExpiringLeases.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Semaphore;
@@ -74,6 +75,14 @@
      */
     record LeaseRecord(long fence, Map<String, Long> millisLeft)
     {
+        /** Rejects a worker without a time. */
+        LeaseRecord
+        {
+            if (millisLeft != null && millisLeft.values().stream().anyMatch(Objects::isNull))
+            {
+                throw new GaugehollowException(ResultCode.STORE_BAD_ANSWER, "millisLeft: a time is missing");
+            }
+        }
     }
 
     /**
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/JobRestoration.java
@@ -5,6 +5,7 @@
 package org.gaugehollow.schedule;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.function.LongSupplier;
 import java.util.stream.IntStream;
 
@@ -95,8 +96,14 @@
 
     private static boolean fits(RoundProgress round, List<StepSpec> specs)
     {
-        List<StepProgress> steps = round.steps();
-        return steps != null && steps.size() == specs.size() && IntStream.range(0, specs.size()).allMatch(
-                i -> steps.get(i).tasks() != null && steps.get(i).tasks().size() <= specs.get(i).count());
+        List<StepProgress> steps = round == null ? null : round.steps();
+        return steps != null && steps.size() == specs.size()
+                && IntStream.range(0, specs.size()).allMatch(i -> fits(steps.get(i), specs.get(i)));
+    }
+
+    private static boolean fits(StepProgress step, StepSpec spec)
+    {
+        return step != null && step.tasks() != null && step.tasks().size() <= spec.count()
+                && step.tasks().stream().allMatch(Objects::nonNull);
     }
 }
