--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/CellState.java
@@ -280,25 +280,6 @@
         }
     }
 
-    /** Releases a task from a worker that has not begun its run. */
-    static void releaseNeverStarted(Task task, Effects effects)
-    {
-        release(task, effects);
-        Job job = task.step().job();
-        writeIfStateChanges(job, effects, job::requeueIfNotStarted);
-    }
-
-    /** Applies an event and marks the job as changed if its state has changed. */
-    static void writeIfStateChanges(Job job, Effects effects, Runnable event)
-    {
-        JobState before = job.state();
-        event.run();
-        if (job.state() != before)
-        {
-            effects.markChanged(job);
-        }
-    }
-
     /** Releases a task, or a copy that ends without completing its task, from its worker. */
     static void releaseRun(Task run, Effects effects)
     {
@@ -367,7 +348,7 @@
         }
         long now = nanoTime.getAsLong();
         reportedTasks.add(known);
-        writeIfStateChanges(known.step().job(), effects, () -> known.markRunning(now));
+        effects.applyToState(known.step().job(), () -> known.markRunning(now));
         known.onListed(sentNanos);
         known.observe(run.percent(), run.gauge(), now);
         saveCheckpoint(known, run.checkpoint());
@@ -395,10 +376,7 @@
                     && task.settledNanos() < sentNanos;
             if (!reportedTasks.contains(task) && wasSettledBefore)
             {
-                if (task.isRestoredUnseen())
-                {
-                    task.step().job().onRecordedRunMissing();
-                }
+                task.onRunMissing();
                 releaseLost(task, effects);
                 task.step().job().requeueIfNotStarted();
             }
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Effects.java
@@ -12,6 +12,7 @@
 import org.gaugehollow.job.CrashHistory;
 import org.gaugehollow.job.CrashHistory.Attribution;
 import org.gaugehollow.job.CrashHistory.Crash;
+import org.gaugehollow.job.JobState;
 
 /** Collects the writes and commands that follow from a change of the cell state. */
 final class Effects
@@ -122,6 +123,17 @@
         changedJobs.add(job);
     }
 
+    /** Applies an event and marks the job as changed if its state has changed. */
+    void applyToState(Job job, Runnable event)
+    {
+        JobState before = job.state();
+        event.run();
+        if (job.state() != before)
+        {
+            markChanged(job);
+        }
+    }
+
     /** Adds a job whose earlier change may not be stored yet. */
     void addUnwritten(Job job)
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/OwnerElection.java
@@ -275,7 +275,7 @@
         FutureTask<Long> leaseGrant = new FutureTask<>(() -> store.grantLease(LEASE_MILLIS));
         Thread.ofVirtual().name("owner-lease").start(leaseGrant);
         Optional<StoredValue> journal = HedgedCall.read(() -> store.get(JobKeys.JOURNAL));
-        PreviousTerm previousTerm = readPreviousTerm(journal, replacedRevision);
+        PreviousTerm previousTerm = PreviousTerm.read(journal, replacedRevision);
         long storeLease = await(leaseGrant);
         byte[] termId = (box + TERM_SEPARATOR + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         StoreTransaction transaction = new StoreTransaction().require(JobKeys.OWNER, replacedRevision)
@@ -308,19 +308,6 @@
         }
     }
 
-    /** Returns the term before the one to begin, as far as the journal tells. */
-    private static PreviousTerm readPreviousTerm(Optional<StoredValue> journal, long replacedRevision)
-    {
-        if (replacedRevision == NO_OWNER_REVISION && journal.isEmpty())
-        {
-            return PreviousTerm.BEFORE_FIRST;
-        }
-        PreviousTerm recorded = journal.map(value -> JournalMark.readTerm(value, SteadyClock.nanos()))
-                .orElse(PreviousTerm.NONE);
-        boolean isPrevious = replacedRevision == NO_OWNER_REVISION || recorded.fence() == replacedRevision;
-        return isPrevious ? recorded : PreviousTerm.ofFence(replacedRevision);
-    }
-
     private static <T> T await(FutureTask<T> call) throws InterruptedException
     {
         try
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/PreviousTerm.java
@@ -4,6 +4,11 @@
  */
 package org.gaugehollow.schedule;
 
+import java.util.Optional;
+
+import org.gaugehollow.platform.StoredValue;
+import org.gaugehollow.time.SteadyClock;
+
 /**
  * The term before the present one, as recorded in the store.
  *
@@ -36,6 +41,23 @@
         return new PreviousTerm(fence, UNKNOWN, UNKNOWN, 0, 0, false, false);
     }
 
+    /**
+     * Returns the term before the one to begin, as far as the journal tells.
+     *
+     * @param journal the journal's key, if it exists
+     * @param replacedRevision revision of the replaced owner's key, or 0 if there is no owner
+     */
+    static PreviousTerm read(Optional<StoredValue> journal, long replacedRevision)
+    {
+        boolean hasOwner = replacedRevision != 0;
+        if (journal.isEmpty())
+        {
+            return hasOwner ? ofFence(replacedRevision) : BEFORE_FIRST;
+        }
+        PreviousTerm recorded = JournalMark.readTerm(journal.get(), SteadyClock.nanos());
+        return hasOwner && recorded.fence() != replacedRevision ? ofFence(replacedRevision) : recorded;
+    }
+
     /** Returns whether the owner and its address are known. */
     boolean isOwnerKnown()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/Task.java
@@ -381,6 +381,15 @@
         return checkpoint;
     }
 
+    /** Records that the worker of the latest run neither has it nor lists its end. */
+    void onRunMissing()
+    {
+        if (isRestoredUnseen())
+        {
+            step().job().onRecordedRunMissing();
+        }
+    }
+
     /** Returns whether the recorded progress shows that a run was begun before the latest one. */
     boolean showsEarlierRun()
     {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/WorkerCommands.java
@@ -199,7 +199,8 @@
      */
     private static void release(Task task, Effects effects)
     {
-        CellState.releaseNeverStarted(task, effects);
+        CellState.release(task, effects);
+        effects.applyToState(task.step().job(), task.step().job()::requeueIfNotStarted);
         if (task.step().spec().gang())
         {
             task.step().stopAll(effects);
@@ -239,8 +240,7 @@
             }
             if (result == CommandResult.DONE)
             {
-                CellState.writeIfStateChanges(task.step().job(), effects,
-                        () -> task.onStartAnswered(nowNanos));
+                effects.applyToState(task.step().job(), () -> task.onStartAnswered(nowNanos));
             }
             else
             {
