TermWitnesses: a box that the stored record may not name is not asked to vouch

Callers saw: nothing; found by reading the diff. Cause: after a write of the record without an answer the owner relied on the record before it, which the store may no longer hold, so a later owner might not ask a box that vouched: two runs of a task in the worst case. Change: the owner relies only on witnesses that are in both records until a write is answered. A box that doesn't answer is asked for its hall ever more rarely. Result (x86_64): TermWitnessesTest (10), LeaseBaseTest, EarlierLeasesTest pass.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -16,8 +16,9 @@
 
 /**
  * Tells how long the leases may last that earlier owners granted to workers which the present owner
- * can't reach. An owner that can't be reached may go on renewing them until it lacks confirmation
- * for too long. Once its term is certainly over, only the leases that it left have to expire.
+ * can't reach. They count from the last confirmation of an earlier term by the store, or from the
+ * last word of a witness. An owner of an earlier version may go on renewing them until it lacks
+ * confirmation for too long, unless its term is certainly over.
  */
 final class EarlierLeases implements SupervisedTask
 {
--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermWitnesses.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermWitnesses.java
@@ -5,10 +5,11 @@
 package org.gaugehollow.schedule;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.gaugehollow.event.EventLog;
 import org.gaugehollow.event.EventType;
@@ -32,7 +33,11 @@
     /** Number of boxes whose data halls are asked for at a time. */
     private static final int MAX_QUESTIONS = 4;
     /** Number of questions after which a box that doesn't answer counts as none of the data hall. */
-    private static final int MAX_ATTEMPTS = 5;
+    private static final int MAX_ATTEMPTS = 3;
+    /**
+     * Limits the number of periods between two questions to a box that doesn't answer, as a power of 2.
+     */
+    private static final int MAX_BACKOFF = 6;
 
     private final OwnerValue stored;
     private final Witnesses witnesses;
@@ -44,9 +49,13 @@
     /** Number of unanswered questions for the data hall of a box, by address. */
     private final Map<String, Integer> unanswered = new HashMap<>();
     private List<String> chosen = List.of();
-    /** The record that the store certainly holds. */
+    /** The record that was written last. */
     private WitnessRecord written = WitnessRecord.NONE;
+    /** Whether the store certainly holds {@link #written}. */
     private boolean synced;
+    /** Witnesses that the stored record names, whatever has become of a write without an answer. */
+    private Set<String> recorded = Set.of();
+    private long periods;
     private boolean vouched;
 
     /**
@@ -138,10 +147,12 @@
     {
         sameHall.keySet().retainAll(candidates);
         unanswered.keySet().retainAll(candidates);
-        List<String> unknown = candidates.stream().filter(address -> !sameHall.containsKey(address))
-                .sorted(Comparator.comparing(address -> unanswered.getOrDefault(address, 0))).toList();
-        boolean isNeeded = !sameHall.containsValue(true) || !sameHall.containsValue(false);
-        for (String address : unknown.subList(0, isNeeded ? Math.min(unknown.size(), MAX_QUESTIONS) : 0))
+        periods++;
+        boolean areBothKnown = sameHall.containsValue(true) && sameHall.containsValue(false);
+        List<String> unknown = candidates.stream()
+                .filter(address -> !areBothKnown && !sameHall.containsKey(address) && isToBeAsked(address))
+                .limit(MAX_QUESTIONS).toList();
+        for (String address : unknown)
         {
             Vouch answer = witnesses.vouch(address, owner.fence());
             if (answer.answered())
@@ -155,10 +166,18 @@
         }
     }
 
+    private boolean isToBeAsked(String address)
+    {
+        return periods % (1L << Math.min(unanswered.getOrDefault(address, 0), MAX_BACKOFF)) == 0;
+    }
+
     /** Writes the record and returns whether it is certainly stored. */
     private boolean write(WitnessRecord next) throws InterruptedException
     {
         synced = false;
+        written = next;
+        recorded = recorded.stream().filter(next.witnesses()::contains)
+                .collect(Collectors.toUnmodifiableSet());
         try
         {
             if (!stored.write(next.write(), OwnerValue.NO_LEASE))
@@ -172,7 +191,7 @@
             return false;
         }
         synced = true;
-        written = next;
+        recorded = Set.copyOf(next.witnesses());
         events.record(EventType.WITNESSES_RECORDED, owner.box(),
                 next.witnesses() + (next.unwitnessed() ? ", leases may be renewed without witness" : ""));
         return true;
@@ -184,7 +203,7 @@
         for (String address : chosen)
         {
             long sentNanos = SteadyClock.nanos();
-            if (written.witnesses().contains(address) && witnesses.vouch(address, owner.fence()).vouches())
+            if (recorded.contains(address) && witnesses.vouch(address, owner.fence()).vouches())
             {
                 owner.recordVouch(sentNanos);
                 recordVouched(true, address);
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWitnesses.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/FakeWitnesses.java
@@ -26,6 +26,12 @@
         sameHall.put(address, isInSameHall);
     }
 
+    /** Ends the registration of a box, which answers no more. */
+    void remove(String address)
+    {
+        sameHall.remove(address);
+    }
+
     /** Adds a box that answers but is not registered. */
     void addUnregistered(String address)
     {
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/TermWitnessesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/TermWitnessesTest.java
@@ -132,6 +132,26 @@
         assertThat(lease.leaseBaseNanos()).isEqualTo(baseNanos);
     }
 
+    /** The write that replaced the witness took effect, but its answer was lost. */
+    @Test
+    void witnessThatTheStoredRecordMayNotNameIsNotAsked() throws InterruptedException
+    {
+        otherBoxes.witnesses().add(IN_HALL, true);
+        start();
+        awaitStored(new WitnessRecord(List.of(IN_HALL), false));
+        store.loseAnswers(Integer.MAX_VALUE);
+        otherBoxes.witnesses().add(ELSEWHERE, true);
+        otherBoxes.witnesses().remove(IN_HALL);
+        awaitStored(new WitnessRecord(List.of(ELSEWHERE), false));
+        store.setDown(true);
+        otherBoxes.witnesses().add(IN_HALL, true);
+        otherBoxes.witnesses().remove(ELSEWHERE);
+        confirmUntil(() -> false);
+        long baseNanos = lease.leaseBaseNanos();
+        Thread.sleep(OBSERVED_MILLIS);
+        assertThat(lease.leaseBaseNanos()).isEqualTo(baseNanos);
+    }
+
     @Test
     void replacedOwnerIsNotVouchedFor() throws InterruptedException
     {
