TermWitnesses: an owner goes without witness only after it had none for 5 s

Cause: after a loss of power the first owner saw no other box registered and recorded at once that it renews leases without witness. It lost the cell 1.3 s later, before the proof of the term before it was written, and its successor waited 14.5 s for both. Evidence: the boxes' logs (E410 "[], leases may be renewed without witness" 0.1 s after the term began; E409 of the next one: 14,520 ms). Change: the owner needs a witness until it had none in its hall for 5 s, longer than boxes that start together take to register. Why it works: until then all leases count from confirmations, which the next owner can bound without any answer.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/TermWitnesses.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/TermWitnesses.java
@@ -32,8 +32,11 @@
     private static final long MAX_UNCONFIRMED_MILLIS = 600;
     /** Number of boxes whose data halls are asked for at a time. */
     private static final int MAX_QUESTIONS = 4;
-    /** Number of questions after which a box that doesn't answer counts as none of the data hall. */
-    private static final int MAX_ATTEMPTS = 3;
+    /**
+     * Time without a witness after which the owner renews leases without one. Boxes that start at the
+     * same time register within this time.
+     */
+    private static final long MIN_UNWITNESSED_NANOS = 5_000_000_000L;
     /**
      * Limits the number of periods between two questions to a box that doesn't answer, as a power of 2.
      */
@@ -55,6 +58,7 @@
     private boolean synced;
     /** Witnesses that the stored record names, whatever has become of a write without an answer. */
     private Set<String> recorded = Set.of();
+    private long lastChosenNanos = SteadyClock.nanos();
     private long periods;
     private boolean vouched;
 
@@ -116,7 +120,7 @@
         List<String> candidates = witnesses.candidates();
         askForHalls(candidates);
         chosen = WitnessChoice.choose(chosen, candidates, sameHall);
-        boolean isUnwitnessed = chosen.isEmpty() && areHallsKnown(candidates);
+        boolean isUnwitnessed = lacksWitness();
         if (!isUnwitnessed)
         {
             // From now on leases are granted as the next record says.
@@ -137,10 +141,14 @@
         return new WitnessRecord(all, isUnwitnessed || earlierLeases.mayBeUnwitnessed());
     }
 
-    private boolean areHallsKnown(List<String> candidates)
+    /** Returns whether this box has had no witness in its data hall for long, and can expect none. */
+    private boolean lacksWitness()
     {
-        return candidates.stream().allMatch(address -> sameHall.containsKey(address)
-                || unanswered.getOrDefault(address, 0) >= MAX_ATTEMPTS);
+        if (!chosen.isEmpty())
+        {
+            lastChosenNanos = SteadyClock.nanos();
+        }
+        return SteadyClock.nanos() - lastChosenNanos >= MIN_UNWITNESSED_NANOS;
     }
 
     private void askForHalls(List<String> candidates) throws InterruptedException
