EarlierLeases: recorded leases count from the owner's end also after its witnesses have answered

Callers saw: nothing; found by reading the diff. Cause: with two proofs the end of the previous term was applied to the recorded leases only where it also shortened the wait for all others, so leases that the owner had recorded could count from the read again, as long as no box was there. Change: the end of the term is applied once it is known, whatever the witnesses said before. Evidence: EarlierLeasesTest.recordedLeasesCountFromTheOwnersEndThoughTheWitnessesAnsweredBefore failed before.

--- a/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
+++ b/gaugehollow/src/main/java/org/gaugehollow/schedule/EarlierLeases.java
@@ -50,6 +50,8 @@
     private volatile long vouchEndNanos = beginNanos;
     /** End of the leases that was applied to the workers. */
     private long appliedEndNanos = maxEndNanos;
+    /** Whether the end of the previous term was applied to the workers. */
+    private boolean termEndApplied;
 
     /**
      * @param previousTerm the term before the present one, or {@link PreviousTerm#NONE} if it is
@@ -136,21 +138,26 @@
     {
         OptionalLong termEnd = termEndNanos;
         OptionalLong end = endNanos();
-        if (end.isEmpty() || end.getAsLong() - appliedEndNanos >= 0)
+        boolean isEndKnown = termEnd.isPresent() && !termEndApplied;
+        boolean isEarlier = end.isPresent() && end.getAsLong() - appliedEndNanos < 0;
+        if (isEarlier)
         {
-            return false;
+            appliedEndNanos = end.getAsLong();
+            workers.limitUnknownLeases(appliedEndNanos);
         }
-        appliedEndNanos = end.getAsLong();
-        workers.limitUnknownLeases(appliedEndNanos);
-        if (termEnd.isPresent())
+        if (isEndKnown)
         {
+            termEndApplied = true;
             // The record was written before the term ended.
             workers.limitRecordedLeases(recorded.adoptedLeaseEnds(termEnd.getAsLong()));
         }
-        events.record(EventType.EARLIER_LEASES_LIMITED, previousTerm.box(),
-                (termEnd.isPresent() ? "its term is over" : "no witness vouches for it any more")
-                        + "; leases of earlier terms expire in " + remainingMillis() + " ms");
-        return true;
+        if (isEarlier || isEndKnown)
+        {
+            events.record(EventType.EARLIER_LEASES_LIMITED, previousTerm.box(),
+                    (termEndApplied ? "its term is over" : "no witness vouches for it any more")
+                            + "; leases of earlier terms expire in " + remainingMillis() + " ms");
+        }
+        return isEarlier || isEndKnown;
     }
 
     /**
--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/EarlierLeasesTest.java
@@ -8,11 +8,17 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.event.EventLog;
+import org.gaugehollow.event.HybridClock;
+import org.gaugehollow.job.JobKeys;
 import org.gaugehollow.model.Json;
+import org.gaugehollow.platform.FakeStore;
+import org.gaugehollow.platform.StoreTransaction;
 import org.gaugehollow.platform.StoredValue;
 import org.gaugehollow.time.SteadyClock;
 import org.junit.jupiter.api.Test;
@@ -211,6 +217,30 @@
         assertThat(probe(leases)).isEqualTo(OptionalLong.empty());
     }
 
+    /**
+     * Guards against counting recorded leases from the read although the end of their owner is known.
+     */
+    @Test
+    void recordedLeasesCountFromTheOwnersEndThoughTheWitnessesAnsweredBefore() throws InterruptedException
+    {
+        otherBoxes.end(OWNER);
+        Thread.sleep(DOWNTIME_MILLIS);
+        FakeStore store = new FakeStore();
+        store.commit(new StoreTransaction().put(JobKeys.EXPIRING_LEASES,
+                Json.write(new ExpiringLeases.LeaseRecord(FENCE, Map.of("w1", WorkerSession.LEASE_MILLIS)))));
+        CellState cellState = new CellState(SteadyClock::nanos, EarlierLeases.MAX_NANOS);
+        EventLog events = new EventLog("test", new HybridClock(System::currentTimeMillis));
+        ExpiringLeases recorded = new ExpiringLeases(store, cellState,
+                new OwnerLease("box", FENCE + 1, 1, FENCE, SteadyClock.nanos()), events);
+        recorded.read();
+        TrackedWorker worker = cellState.trackedWorkers().get("w1");
+        EarlierLeases leases = boundedLeases(WitnessRecord.NONE);
+        assertThat(leases.limit(cellState.trackedWorkers(), recorded, events)).isTrue();
+        probe(leases);
+        assertThat(leases.limit(cellState.trackedWorkers(), recorded, events)).isTrue();
+        assertThat(worker.leaseEndNanos()).isEqualTo(ownerEndNanos() + LEASE_NANOS);
+    }
+
     private static StoredValue value(byte[] bytes)
     {
         return new StoredValue("journal", bytes, FENCE);
