--- a/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
+++ b/gaugehollow/src/test/java/org/gaugehollow/schedule/UnconfirmedTermTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.gaugehollow.job.JobKeys;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,7 @@
     private static final String TASK = TestJobs.ID + ".0.0.0";
     private static final long UNCONFIRMED_MILLIS = 3_000;
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final String WITNESS = "127.0.0.1:2";
 
     private final FakePlatform platform = new FakePlatform();
     private FakeWorker worker;
@@ -36,6 +38,10 @@
     {
         worker = platform.addWorker("w1");
         term = new TestTerm(platform, "box");
+        // Its word keeps the leases of the workers for as long as the term may be unconfirmed.
+        term.otherBoxes().witnesses().add(WITNESS, true);
+        assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> WitnessRecord
+                .read(platform.fakeStore().get(JobKeys.WITNESSES)).witnesses().contains(WITNESS))).isTrue();
         assertThat(TestJobs.waitUntil(TIMEOUT_MILLIS, () -> worker.heartbeatCount() > 1)).isTrue();
     }
 
