--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -218,10 +218,13 @@
 class Worker:
     """A worker that runs tasks; `spec` tells the time of a task: "ms=800"."""
 
-    def __init__(self, cell, number, service, capacity):
+    def __init__(self, cell, number, service, capacity, life=1):
         self.cell, self.service, self.capacity = cell, service, capacity
-        self.id = "w%02d%06x" % (number, os.getpid())
+        self.index = number
+        self.life = life
+        self.id = "w%02d-%d" % (number, life)
         self.rack = "r1-%d" % (number // 4)
+        self.labels = ["a", self.rack]
         self.zone = cell.zones[number % len(cell.zones)]
         self.born = time.monotonic()
         self.running = {}     # task -> [run, end time or None, started, spec]
@@ -238,18 +241,34 @@
     def clock(self):
         return int((time.monotonic() - self.born) * 1000) + 100000
 
-    async def start(self, host):
-        self.http = await HttpServer(self.handle).start(host)
+    async def start(self, host, port=0):
+        self.http = await HttpServer(self.handle).start(host, port)
         self.write_entry()
         self.ticker = asyncio.create_task(self.tick())
         return self
 
+    async def crash(self):
+        """Ends at once and says nothing: connections break, and all that runs is gone."""
+        self.up = False
+        self.cell.record("worker crashed", worker=self.id, running=",".join(self.running) or "nothing")
+        self.ticker.cancel()
+        self.http.server.close()
+        for writer in list(self.http.writers):
+            writer.transport.abort()
+        self.running = {}
+        asyncio.create_task(self.lose_entry())
+
+    async def lose_entry(self):
+        """The entry goes after three heartbeats of silence."""
+        await asyncio.sleep(4.5)
+        self.cell.store.apply([], ["servers/" + self.id])
+
     def write_entry(self):
         self.seq += 1
         self.cell.store.put("servers/" + self.id, {
             "service": self.service, "address": self.http.address, "zone": self.zone, "version": "1.0",
             "slots": 8, "state": "draining" if self.draining else "ready", "cold_left_ms": 0, "seq": self.seq,
-            "capacity": self.capacity, "labels": ["a", self.rack]})
+            "capacity": self.capacity, "labels": self.labels})
 
     async def tick(self):
         beat = time.monotonic()
@@ -401,6 +420,7 @@
         self.folder = tempfile.mkdtemp(prefix="review3-")
         self.began = time.monotonic()
         self.out = open(os.path.join(case_folder, "record.txt"), "w")
+        self.out.write("machine %s, TROUBLE=%s\n" % (os.uname().machine, os.environ.get("TROUBLE", "1")))
         self.events = []
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             self.command = tomllib.load(f)["roles"]["box"]["run"].split()
@@ -445,6 +465,16 @@
         except (OSError, asyncio.TimeoutError):
             return False
 
+    async def crash_and_return(self, index, down_s):
+        """A worker crashes and starts again at its address, with a new id."""
+        old = self.workers[index]
+        await old.crash()
+        await asyncio.sleep(down_s)
+        new = Worker(self, index, old.service, old.capacity, old.life + 1)
+        new.labels = old.labels
+        self.workers[index] = await new.start(*[f(x) for f, x in zip((str, int), old.http.address.split(":"))])
+        self.record("worker back", worker=new.id)
+
     def owner(self):
         item = self.store.items.get("gaugehollow/owner")
         if item is None:
@@ -500,7 +530,6 @@
         for box in self.boxes:
             if box.process is not None:
                 await box.kill()
-        shutil.copyfileobj
         shutil.rmtree(self.folder, ignore_errors=True)
         self.out.close()
 
