--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,59 +1,52 @@
-"""A scheduled job is handed in after its times have passed; while it runs the cell stops for good."""
+"""A worker is lost for good, and right after it the zone of the owner; the worker's lasting task stands still."""
 import asyncio
 import os
+import signal
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib3"))
 import cell as deployment
-import checks
 
-SCHEDULED = "00000000000000cc"
-TIMES = 3600            # once a second for an hour
-TASKS = 4
-INTERVAL_MS = 1000
-WATCH_S = 50
+JOB = "5c0e7a21d94b36f8"
+WORKERS = 10
+ZONE_LOSS_AFTER_S = 0.4
+REPLACED_AFTER_S = 2.0
+BOUND_S = 9.0       # 6 s after its last run, and 3 s
 
 
 async def scenario(cell, trouble):
-    needs, accepted = {}, {}
-
-    async def small(number):
-        job = "%016x" % (0xabc000 + number)
-        needs[job] = (500, 64)
-        body = {"spec": "ms=300", "steps": [{"count": 3, "cpu": 500, "mem_mb": 64, "estimate_ms": 300}]}
-        if await cell.submit("/lohu930/" + job, body, tries=6, first=number):
-            accepted[job] = time.monotonic() - cell.began
-
-    for i in range(5):
-        await small(i)
-    await asyncio.sleep(1)
-    needs[SCHEDULED] = (50, 1)
-    times = TIMES if trouble else 20
-    body = {"spec": "ms=10", "steps": [{"count": TASKS, "cpu": 50, "mem_mb": 1, "estimate_ms": 10}],
-            "repeat_count": times, "interval_ms": INTERVAL_MS,
-            "start_at_ms": int(time.time() * 1000) - times * INTERVAL_MS}
-    if not await cell.submit("/recap7/" + SCHEDULED, body):
-        raise RuntimeError("the scheduled job was not accepted")
-    end = time.monotonic() + WATCH_S
-    calls, number = [], 100
-    while time.monotonic() < end:
-        calls.append(asyncio.create_task(small(number)))
-        number += 1
-        await asyncio.sleep(1)
-    await asyncio.gather(*calls)
+    step = {"count": 6, "cpu": 3400, "mem_mb": 6200, "estimate_ms": 400, "long_running": True, "anti_affinity": 1}
+    if not await cell.submit("/lohu930/" + JOB, {"spec": "watch", "steps": [step]}):
+        raise RuntimeError("the job was not accepted")
+    await asyncio.sleep(8)
+    owner = cell.owner()
+    lost = next(w for w in cell.workers if w.running)
+    tasks = list(lost.running)
+    lost_at = time.monotonic() - cell.began
+    if trouble:
+        await lost.crash()
+        await asyncio.sleep(ZONE_LOSS_AFTER_S)
+        zone = [box for box in cell.boxes if box.zone == owner.zone]
+        for box in zone:
+            box.wanted = False
+            box.signal(signal.SIGKILL)
+        cell.record("zone lost", zone=owner.zone, boxes=",".join(box.name for box in zone), owner=owner.name)
+        await asyncio.sleep(REPLACED_AFTER_S)
+        for number, box in enumerate(zone):
+            cell.boxes.remove(box)
+            new = deployment.Box(cell, 20 + number)
+            new.zone = owner.zone
+            cell.boxes.append(new)
+            await new.start()
+    await asyncio.sleep(20)
     now = time.monotonic() - cell.began
-    usage = checks.Usage(cell, needs)
-    broken = []
-    for job, at in accepted.items():
-        begun = min([t for t, _ in cell.runs(job)], default=now)
-        idle = usage.longest_idle(job, cell.workers, at, begun)
-        cell.record("job", id=job, accepted="%.1f" % at, begun="%.1f" % begun if cell.runs(job) else "never",
-                    idle_with_room_s=idle)
-        if idle > 3:
-            broken.append("LOST: %s had nothing running for %.1f s" % (job, idle))
-    cell.record("owners", terms=sum(open(box.file[:-5] + ".log").read().count("OWNER_BEGAN") for box in cell.boxes))
-    return broken
+    idle = 0.0
+    for task in tasks if trouble else []:
+        begun = min([at for at, f in cell.runs(JOB) if f["task"] == task and at > lost_at], default=now)
+        cell.record("task", id=task, lost="%.2f" % lost_at, begun="%.2f" % begun, idle="%.2f" % (begun - lost_at))
+        idle = max(idle, begun - lost_at)
+    return ["LOST: a lasting task had nothing running for %.1f s" % idle] if idle > BOUND_S else []
 
 
-deployment.main(scenario, boxes=3, workers=8)
+deployment.main(scenario, boxes=7, workers=WORKERS)
