--- a/review/lib3/cell.py
+++ b/review/lib3/cell.py
@@ -543,7 +543,7 @@
         code = 2
         try:
             await cell.start()
-            broken = await asyncio.wait_for(scenario(cell, trouble), 95)
+            broken = await asyncio.wait_for(scenario(cell, trouble), 88)
             cell.record("verdict", broken=json.dumps(broken))
             code = 1 if broken else 0
         except Exception as e:  # the case could not run
